--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package harrierfront makes the decisions of a reverse proxy that spreads
+// Package lilacglade makes the decisions of a reverse proxy that spreads
 // requests over HTTP servers: which server, for how long, whether to try again,
 // to refuse or to fail.
 //
@@ -19,7 +19,7 @@
 // Times are durations on the proxy's own clock, which may start anywhere and never
 // goes back. The Balancer keeps memory for each request until it has ended and its
 // attempts have come back, and for each server while the list names it.
-package harrierfront
+package lilacglade
 
 import "time"
 
--- a/balancer.go
+++ b/balancer.go
@@ -1,4 +1,4 @@
-package harrierfront
+package lilacglade
 
 // Every decision is in this file; its types, events and actions are in api.go, what a
 // Balancer remembers in state.go.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,4 +1,4 @@
-package harrierfront
+package lilacglade
 
 import (
 	"testing"
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"harrierfront/internal/wire"
+	"lilacglade/internal/wire"
 )
 
 func main() {
--- a/example_test.go
+++ b/example_test.go
@@ -1,20 +1,20 @@
-package harrierfront_test
+package lilacglade_test
 
 import (
 	"fmt"
 	"time"
 
-	"harrierfront"
+	"lilacglade"
 )
 
 // A proxy serves one request, sends one again, refuses one and hears of a drain.
 func Example() {
-	b, err := harrierfront.New(harrierfront.Settings{
+	b, err := lilacglade.New(lilacglade.Settings{
 		Balancers:   1,
 		MaxAttempts: 2,
-		Classes: []harrierfront.Class{
+		Classes: []lilacglade.Class{
 			{Name: "page", Aim: time.Second, Worth: 1},
-			{Name: "order", Aim: time.Second, Worth: 5, Effect: harrierfront.Unsafe},
+			{Name: "order", Aim: time.Second, Worth: 5, Effect: lilacglade.Unsafe},
 		},
 	}, 42)
 	if err != nil {
@@ -22,44 +22,44 @@
 		return
 	}
 	now := time.Hour // any clock that never goes back
-	handle := func(ev harrierfront.Event) (last harrierfront.Action) {
+	handle := func(ev lilacglade.Event) (last lilacglade.Action) {
 		for _, a := range b.Handle(now, ev) {
 			switch a.Do {
-			case harrierfront.Send:
+			case lilacglade.Send:
 				fmt.Println("send request", a.Request)
-			case harrierfront.Refuse:
+			case lilacglade.Refuse:
 				fmt.Println("refuse request", a.Request)
-			case harrierfront.Fail:
+			case lilacglade.Fail:
 				fmt.Println("fail request", a.Request)
 			}
 			last = a
 		}
 		return last
 	}
-	handle(harrierfront.List{Kind: harrierfront.FullList, Servers: []harrierfront.Server{
+	handle(lilacglade.List{Kind: lilacglade.FullList, Servers: []lilacglade.Server{
 		{ID: 1, Weight: 1}, {ID: 2, Weight: 1},
 	}})
 
 	fmt.Println("served:")
-	a := handle(harrierfront.Request{ID: 1, Budget: 2 * time.Second})
+	a := handle(lilacglade.Request{ID: 1, Budget: 2 * time.Second})
 	now += 30 * time.Millisecond
-	handle(harrierfront.Outcome{Request: 1, Server: a.Server, Result: harrierfront.OK, Closed: true,
+	handle(lilacglade.Outcome{Request: 1, Server: a.Server, Result: lilacglade.OK, Closed: true,
 		Latency: 30 * time.Millisecond})
 
 	fmt.Println("retried:")
-	first := handle(harrierfront.Request{ID: 2, Class: 1, Budget: 2 * time.Second})
-	again := handle(harrierfront.Outcome{Request: 2, Server: first.Server, Result: harrierfront.ConnectFailed})
+	first := handle(lilacglade.Request{ID: 2, Class: 1, Budget: 2 * time.Second})
+	again := handle(lilacglade.Outcome{Request: 2, Server: first.Server, Result: lilacglade.ConnectFailed})
 	fmt.Println("another server:", again.Server != first.Server)
 
 	fmt.Println("drained:")
-	handle(harrierfront.List{Kind: harrierfront.Changes, Servers: []harrierfront.Server{
-		{ID: 1, State: harrierfront.Draining},
+	handle(lilacglade.List{Kind: lilacglade.Changes, Servers: []lilacglade.Server{
+		{ID: 1, State: lilacglade.Draining},
 	}})
-	a = handle(harrierfront.Request{ID: 3, Budget: 2 * time.Second})
+	a = handle(lilacglade.Request{ID: 3, Budget: 2 * time.Second})
 	fmt.Println("server", a.Server)
 
 	fmt.Println("refused:")
-	handle(harrierfront.Outcome{Request: 3, Server: a.Server, Result: harrierfront.Full})
+	handle(lilacglade.Outcome{Request: 3, Server: a.Server, Result: lilacglade.Full})
 
 	// Output:
 	// served:
--- /dev/null
+++ b/internal/legs/inbox.go
@@ -0,0 +1,62 @@
+package legs
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// inbox takes what happens on any goroutine to the one that runs the reducer. Posting never
+// waits, so that neither a poller nor the reducer itself can be held up by it.
+type inbox struct {
+	mu    sync.Mutex
+	items []any
+	wake  chan struct{}
+}
+
+func newInbox() *inbox { return &inbox{wake: make(chan struct{}, 1)} }
+
+func (b *inbox) post(item any) {
+	b.mu.Lock()
+	b.items = append(b.items, item)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take empties the inbox; spare is used for what comes next.
+func (b *inbox) take(spare []any) []any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	items := b.items
+	b.items = spare[:0]
+	return items
+}
+
+// What the goroutines round the reducer post.
+type (
+	accepted struct{ leg *leg }
+	bytesIn  struct {
+		leg  *leg
+		data []byte
+		read time.Time
+	}
+	broken  struct{ leg *leg }
+	written struct {
+		leg *leg
+		ok  bool
+	}
+	dialed struct {
+		leg  *leg
+		conn netpoll.Connection // nil when it failed
+	}
+	document struct {
+		raw []byte
+		err error
+	}
+	stopping struct{}
+	failed   struct{ err error }
+)
--- /dev/null
+++ b/internal/legs/messages.go
@@ -0,0 +1,180 @@
+package legs
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	lg "lilacglade"
+	"lilacglade/internal/http1"
+	"lilacglade/internal/proxystate"
+	"lilacglade/internal/routeset"
+	"lilacglade/internal/settings"
+)
+
+// The names that the deployment gives its fields and paths.
+const (
+	fieldID      = "Request-Id"
+	fieldClass   = "Request-Class"
+	fieldTenant  = "Tenant"
+	fieldKey     = "Affinity-Key"
+	fieldTimeout = "Request-Timeout-Ms"
+	fieldUnique  = "Idempotency-Key"
+	fieldRetry   = "Client-Retry"
+	fieldLoad    = "Server-Load"
+	fieldNotRun  = "Not-Started"
+	pathAPI      = "/api"
+	pathReady    = "/healthz"
+)
+
+// maxTimeout bounds what a caller may ask for.
+const maxTimeout = time.Hour
+
+// faulty words the answer to what can't be taken as a request.
+func faulty(id proxystate.LegID, status int, fields string, last bool) proxystate.CallerFaulty {
+	return proxystate.CallerFaulty{Leg: id, Payload: http1.Answer(status, fields, "", last), Last: last}
+}
+
+// unreadable words the answer to what the parser gave up on.
+func unreadable(id proxystate.LegID, err error) proxystate.CallerFaulty {
+	switch err {
+	case http1.ErrHeadSize:
+		return faulty(id, 431, "", true)
+	case http1.ErrBodySize:
+		return faulty(id, 413, "", true)
+	}
+	return faulty(id, 400, "", true)
+}
+
+// asked turns a request that was read at the given time into its event.
+func asked(set *settings.Settings, id proxystate.LegID, m *http1.Message,
+	read time.Duration) proxystate.Event {
+	method := string(m.Method)
+	switch string(m.Path()) {
+	case pathReady:
+		if method != "GET" {
+			return faulty(id, 405, "Allow: GET\r\n", m.Close)
+		}
+		return proxystate.CallerProbed{Leg: id, Last: m.Close}
+	case pathAPI:
+	default:
+		return faulty(id, 404, "", m.Close)
+	}
+	if method != "GET" && method != "POST" {
+		return faulty(id, 405, "Allow: GET, POST\r\n", m.Close)
+	}
+	class := -1
+	for i := range set.Classes {
+		if string(m.Get(fieldClass)) == set.Classes[i].Name {
+			class = i
+		}
+	}
+	if class < 0 || len(m.Get(fieldID)) == 0 {
+		return faulty(id, 400, "", true)
+	}
+	c := &set.Classes[class]
+	if want := methodOf(c.Effect); method != want {
+		return faulty(id, 405, "Allow: "+want+"\r\n", m.Close)
+	}
+	may := c.Deadline
+	if v := m.Get(fieldTimeout); v != nil {
+		ms, err := strconv.ParseUint(string(v), 10, 32)
+		if may = time.Duration(ms) * time.Millisecond; err != nil || ms == 0 || may > maxTimeout {
+			return faulty(id, 400, "", true)
+		}
+	}
+	if (len(m.Get(fieldUnique)) > 0) != (c.Effect == lg.Keyed) {
+		return faulty(id, 400, "", true)
+	}
+	ev := proxystate.CallerAsked{Leg: id, Class: class, Tenant: -1, Deadline: read + may,
+		Repeat: string(m.Get(fieldRetry)) == "1", Payload: m, Last: m.Close}
+	for i := range set.Tenants {
+		if string(m.Get(fieldTenant)) == set.Tenants[i].Name {
+			ev.Tenant = i
+		}
+	}
+	if key := m.Get(fieldKey); len(key) > 0 {
+		ev.Key, ev.HasKey = routeset.Hash(key), true
+	}
+	return ev
+}
+
+// methodOf is the method that goes with what a class may do.
+func methodOf(e lg.Effect) string {
+	if e == lg.Safe {
+		return "GET"
+	}
+	return "POST"
+}
+
+// answered turns a next hop's answer into its event. Only the two statuses that say so
+// themselves prove that the request never ran.
+func answered(set *settings.Settings, id proxystate.LegID, m *http1.Message,
+	keep bool) proxystate.HopAnswered {
+	ev := proxystate.HopAnswered{Leg: id, Result: lg.ServerError, Payload: m, Keep: keep && !m.Close,
+		Load: load(set.Report, m.Get(fieldLoad))}
+	switch m.Status {
+	case 200:
+		ev.Result = lg.OK
+	case 503, 504:
+		if string(m.Get(fieldNotRun)) == "1" {
+			ev.Result = lg.Full
+		}
+	}
+	return ev
+}
+
+// load reads a load report; one that is garbled or lacks a value counts as none.
+func load(names []lg.LoadField, text []byte) lg.LoadReport {
+	if len(text) == 0 || len(names) > len(lg.LoadReport{}.Values) {
+		return lg.LoadReport{}
+	}
+	report := lg.LoadReport{N: len(names)}
+	found := 0
+	for part := range bytes.SplitSeq(text, []byte(",")) {
+		name, value, _ := bytes.Cut(bytes.TrimSpace(part), []byte("="))
+		field, known := settings.LoadFields[string(name)]
+		v, err := strconv.ParseFloat(string(value), 64)
+		if err != nil {
+			return lg.LoadReport{}
+		}
+		for i, n := range names {
+			if known && n == field {
+				report.Values[i] = v
+				found++
+			}
+		}
+	}
+	if found != len(names) {
+		return lg.LoadReport{}
+	}
+	return report
+}
+
+// answer words an answer to a caller.
+func answer(e proxystate.Effect) [][]byte {
+	switch e.Verdict {
+	case proxystate.Served:
+		return e.Payload.(*http1.Message).Back(fieldLoad, e.Last)
+	case proxystate.Faulty:
+		return e.Payload.([][]byte)
+	case proxystate.ReadyNow:
+		return http1.Answer(200, "", "ready\n", e.Last)
+	case proxystate.NotReady:
+		return http1.Answer(503, "", "not ready\n", e.Last)
+	case proxystate.Busy:
+		fields := ""
+		if e.Advice > 0 {
+			seconds := strings.TrimSuffix(fmt.Sprintf("%.3f", e.Advice.Seconds()), ".000")
+			fields = "Retry-After: " + seconds + "\r\n"
+		}
+		return http1.Answer(503, fields, "", e.Last)
+	case proxystate.TooSlow:
+		return http1.Answer(408, "", "", e.Last)
+	case proxystate.Late:
+		return http1.Answer(504, "", "", e.Last)
+	}
+	return http1.Answer(502, "", "", e.Last)
+}
--- /dev/null
+++ b/internal/legs/proxy.go
@@ -0,0 +1,307 @@
+// Package legs is the proxy's sockets: it turns bytes into the reducer's events and carries
+// out the effects that the reducer asks for. One goroutine runs the reducer and never waits
+// for a socket; reading, writing and dialing happen round it, on netpoll.
+package legs
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	lg "lilacglade"
+	"lilacglade/internal/http1"
+	"lilacglade/internal/proxystate"
+	"lilacglade/internal/routeset"
+	"lilacglade/internal/settings"
+)
+
+// longAgo is what the proxy's clock reads at its start: servers that started before it have
+// a time of their own, too.
+const longAgo = 24 * time.Hour
+
+// Descriptors are budgeted apart, so that neither side can starve the other: some stay for
+// the listener, the poller and discovery, and of the rest callers get these parts.
+const (
+	spareSockets = 40
+	callerParts  = 5
+	hopParts     = 3
+)
+
+// idleParts of the keep-alive limit: an idle leg to a next hop is closed after one of them,
+// well before the other side closes it under a request's hands.
+const idleParts = 4
+
+// watchFor is how long a watch may wait where the settings don't say how often to ask.
+const watchFor = 10 * time.Second
+
+// heldWhileBusy bounds what a caller may send ahead while its request is being worked on.
+const heldWhileBusy = http1.MaxHead + http1.MaxBody
+
+type proxy struct {
+	set     settings.Settings
+	start   time.Time
+	inbox   *inbox
+	state   *proxystate.State
+	routes  *routeset.Set
+	watcher *watcher
+	callers map[proxystate.LegID]*leg
+	hops    map[proxystate.LegID]*leg
+	timer   *time.Timer
+	done    bool
+}
+
+// Serve runs the proxy until ctx ends and all it has taken is answered.
+func Serve(ctx context.Context, node settings.Node) error {
+	p := &proxy{set: node.Settings, start: time.Now(), inbox: newInbox(),
+		callers: map[proxystate.LegID]*leg{}, hops: map[proxystate.LegID]*leg{}, timer: time.NewTimer(0)}
+	p.routes = routeset.New(p.set.ZoneNames, p.set.KindNames, p.start.Add(-longAgo))
+	sockets := node.Limits.Sockets - spareSockets
+	var err error
+	p.state, err = proxystate.New(proxystate.Config{Settings: p.set.Settings, Seed: node.Seed,
+		MaxCallers: sockets * callerParts / (callerParts + hopParts),
+		MaxHops:    sockets * hopParts / (callerParts + hopParts),
+		IdleHops:   p.set.KeepAlive / idleParts})
+	if err != nil {
+		return err
+	}
+	ln, err := netpoll.CreateListener("tcp", node.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	loop, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(p.accept()))
+	if err != nil {
+		return err
+	}
+	p.watcher = newWatcher(node.Discovery, p.inbox)
+	go p.watcher.run()
+	go func() { p.inbox.post(failed{loop.Serve(ln)}) }()
+	go func() {
+		<-ctx.Done()
+		p.inbox.post(stopping{})
+	}()
+	if list, err := p.routes.Apply(node.Known); err != nil {
+		log.Printf("known: %v", err)
+	} else {
+		list.Kind = lg.CachedList
+		p.step(proxystate.RoutesTold{List: list})
+	}
+	log.Printf("%s serves on %s", node.Name, node.Listen)
+	return p.run()
+}
+
+type legKey struct{}
+
+// accept returns netpoll's hook for a new connection.
+func (p *proxy) accept() netpoll.OnPrepare {
+	var last atomic.Uint64
+	return func(conn netpoll.Connection) context.Context {
+		g := &leg{id: proxystate.LegID(last.Add(1)), caller: true, inbox: p.inbox}
+		g.attach(conn)
+		p.inbox.post(accepted{g})
+		return context.WithValue(context.Background(), legKey{}, g)
+	}
+}
+
+func onRequest(ctx context.Context, conn netpoll.Connection) error {
+	return ctx.Value(legKey{}).(*leg).onRequest(ctx, conn)
+}
+
+// run is the reducer's goroutine.
+func (p *proxy) run() error {
+	var items []any
+	for !p.done {
+		select {
+		case <-p.inbox.wake:
+		case <-p.timer.C:
+			p.step(proxystate.Woken{})
+		}
+		items = p.inbox.take(items)
+		for _, item := range items {
+			if f, ok := item.(failed); ok {
+				return fmt.Errorf("listen: %w", f.err)
+			}
+			p.take(item)
+		}
+		clear(items)
+	}
+	return nil
+}
+
+func (p *proxy) now() time.Duration { return p.at(time.Now()) }
+
+func (p *proxy) at(t time.Time) time.Duration { return longAgo + t.Sub(p.start) }
+
+func (p *proxy) wall(at time.Duration) time.Time { return p.start.Add(at - longAgo) }
+
+// take turns an item into the reducer's events.
+func (p *proxy) take(item any) {
+	switch item := item.(type) {
+	case accepted:
+		p.callers[item.leg.id] = item.leg
+		p.step(proxystate.CallerOpened{Leg: item.leg.id})
+	case bytesIn:
+		g := item.leg
+		if g.parted {
+			return
+		}
+		g.parser.Feed(item.data)
+		g.read = item.read
+		if g.caller {
+			p.readCaller(g)
+		} else {
+			p.readHop(g)
+		}
+	case broken:
+		p.broke(item.leg)
+	case written:
+		g := item.leg
+		if !g.caller {
+			p.step(proxystate.HopWritten{Leg: g.id, OK: item.ok})
+			return
+		}
+		g.busy = false
+		p.step(proxystate.CallerWritten{Leg: g.id, OK: item.ok})
+		p.readCaller(g)
+	case dialed:
+		g := item.leg
+		if g.parted { // closed while it was being opened
+			if item.conn != nil {
+				_ = item.conn.Close()
+			}
+			return
+		}
+		ok := item.conn != nil && g.open(item.conn)
+		if !ok {
+			delete(p.hops, g.id)
+		}
+		p.step(proxystate.HopDialed{Leg: g.id, OK: ok})
+	case document:
+		p.told(item)
+	case stopping:
+		p.step(proxystate.Stopping{})
+	}
+}
+
+// readCaller looks for the next request on a caller leg. Requests are taken one at a time.
+func (p *proxy) readCaller(g *leg) {
+	if g.parted {
+		return
+	}
+	if g.busy {
+		if g.parser.Held() > heldWhileBusy {
+			g.close() // a caller that sends on and on without waiting for answers
+		}
+		return
+	}
+	m, err := g.parser.Next()
+	switch {
+	case err != nil:
+		g.busy = true
+		p.step(unreadable(g.id, err))
+	case m != nil:
+		g.busy = true
+		p.step(asked(&p.set, g.id, m, p.at(g.read)))
+	case g.parser.Partial():
+		p.step(proxystate.CallerReading{Leg: g.id})
+		if g.parser.WantsContinue() {
+			g.write(job{bufs: http1.Continue(), by: time.Now().Add(p.set.AskEvery)})
+		}
+	}
+}
+
+// readHop looks for the answer on a hop leg.
+func (p *proxy) readHop(g *leg) {
+	m, err := g.parser.Next()
+	for err == nil && m != nil && m.Status < 200 {
+		m, err = g.parser.Next()
+	}
+	if err != nil {
+		p.step(proxystate.HopAnswered{Leg: g.id, Result: lg.ServerError})
+	} else if m != nil {
+		p.step(answered(&p.set, g.id, m, !g.parser.Partial()))
+	}
+}
+
+func (p *proxy) broke(g *leg) {
+	if g.caller {
+		delete(p.callers, g.id)
+		p.step(proxystate.CallerClosed{Leg: g.id})
+		return
+	}
+	if m := g.parser.End(); m != nil && !g.parted {
+		p.step(answered(&p.set, g.id, m, false))
+	}
+	delete(p.hops, g.id)
+	p.step(proxystate.HopClosed{Leg: g.id})
+}
+
+func (p *proxy) told(d document) {
+	list, err := lg.List{Kind: lg.ListFailed}, d.err
+	if err == nil {
+		var told lg.List
+		if told, err = p.routes.Apply(d.raw); err == nil {
+			list = told
+		}
+	}
+	if err != nil {
+		log.Printf("discovery: %v", err)
+	}
+	p.step(proxystate.RoutesTold{List: list})
+}
+
+// step hands the reducer an event and carries out what it asks for.
+func (p *proxy) step(ev proxystate.Event) {
+	for _, e := range p.state.Step(p.now(), ev) {
+		p.carryOut(e)
+	}
+}
+
+func (p *proxy) carryOut(e proxystate.Effect) {
+	switch e.Do {
+	case proxystate.AnswerCaller:
+		if g := p.callers[e.Leg]; g != nil {
+			g.busy = true
+			g.write(job{bufs: answer(e), by: p.wall(e.At), report: true})
+		}
+	case proxystate.PartCaller:
+		if g := p.callers[e.Leg]; g != nil {
+			g.part()
+		}
+	case proxystate.CloseCaller:
+		if g := p.callers[e.Leg]; g != nil {
+			g.close()
+		}
+	case proxystate.Dial:
+		g := &leg{id: e.Leg, inbox: p.inbox, parser: http1.Parser{Responses: true}}
+		p.hops[e.Leg] = g
+		go g.dial(p.routes.Address(e.Server), p.wall(e.At))
+	case proxystate.Forward:
+		if g := p.hops[e.Leg]; g != nil {
+			ms := max(1, (e.At - p.now()).Milliseconds())
+			bufs := e.Payload.(*http1.Message).Forward(fieldTimeout, fmt.Sprint(ms))
+			g.write(job{bufs: bufs, by: p.wall(e.At), report: true})
+		}
+	case proxystate.CloseHop:
+		if g := p.hops[e.Leg]; g != nil {
+			delete(p.hops, e.Leg)
+			g.close()
+		}
+	case proxystate.Arm:
+		p.timer.Reset(time.Until(p.wall(e.At)))
+	case proxystate.Watch:
+		wait := p.set.AskEvery
+		if wait == 0 {
+			wait = watchFor
+		}
+		now := p.now()
+		p.watcher.ask(call{p.routes.Query(now, now+wait), p.wall(now + wait + answerWithin)})
+	case proxystate.Log:
+		log.Print(e.Text)
+	case proxystate.Finish:
+		p.done = true
+	}
+}
--- /dev/null
+++ b/internal/proxystate/callers.go
@@ -0,0 +1,150 @@
+package proxystate
+
+import (
+	"time"
+
+	lg "lilacglade"
+)
+
+func (s *State) phase(c *caller, p callerPhase) { c.phase, c.since = p, s.now }
+
+// opened takes in a caller leg. At the cap the one that has been idle longest makes room; if
+// all are busy, the new one is refused once it has asked.
+func (s *State) opened(id LegID) {
+	c := &caller{id: id}
+	if len(s.callers) >= s.cfg.MaxCallers {
+		var oldest *caller
+		for _, c := range s.callers {
+			if c.phase == callerIdle && (oldest == nil || c.since < oldest.since) {
+				oldest = c
+			}
+		}
+		if c.over = oldest == nil; !c.over {
+			s.closeCaller(oldest)
+		}
+	}
+	s.phase(c, callerIdle)
+	s.callers[id] = c
+}
+
+func (s *State) asked(ev CallerAsked) {
+	c := s.callers[ev.Leg]
+	if c == nil || c.phase > callerReading {
+		return
+	}
+	if c.over {
+		s.reply(c.id, Effect{Verdict: Busy, Last: true})
+		return
+	}
+	s.lastID++
+	r := &request{id: s.lastID, caller: c, deadline: ev.Deadline - margin, payload: ev.Payload}
+	s.phase(c, callerAsking)
+	c.last = ev.Last
+	c.req = r
+	s.requests[r.id] = r
+	s.clock.add(r.deadline, func() { s.overdue(r) })
+	s.tell(lg.Request{ID: r.id, Class: ev.Class, Tenant: ev.Tenant, Key: ev.Key, HasKey: ev.HasKey,
+		Budget: max(0, r.deadline-s.now), Repeat: ev.Repeat})
+}
+
+// overdue ends a request at its deadline. The module hears of the time-out first; the answer
+// doesn't depend on what it makes of it.
+func (s *State) overdue(r *request) {
+	if r.branch != nil {
+		s.timedOut(r.branch)
+		s.settle()
+	}
+	if !r.done {
+		s.finish(r, Effect{Verdict: Busy})
+		s.tell(lg.Departed{Request: r.id})
+	}
+}
+
+// finish gives a request its one final answer, at once.
+func (s *State) finish(r *request, e Effect) {
+	if r.done {
+		return
+	}
+	// Guards against refusing what may have run, whatever asked for it.
+	if e.Verdict == Busy && (r.mayRun || r.branch != nil) {
+		e.Verdict = Broken
+	}
+	if e.Verdict == Broken && r.late {
+		e.Verdict = Late
+	}
+	c := r.caller
+	s.forget(r)
+	if c != nil {
+		c.req = nil
+		s.reply(c.id, e)
+	}
+}
+
+// forget marks a request as done; it is remembered until its branch has come back.
+func (s *State) forget(r *request) {
+	r.done, r.caller = true, nil
+	if r.branch == nil {
+		delete(s.requests, r.id)
+	}
+}
+
+// reply has an answer written on a caller leg.
+func (s *State) reply(id LegID, e Effect) {
+	c := s.callers[id]
+	if c == nil || c.req != nil || c.phase > callerAsking {
+		return
+	}
+	s.phase(c, callerAnswering)
+	c.last = c.last || e.Last || s.stopping
+	e.Do, e.Leg, e.Last, e.At = AnswerCaller, id, c.last, s.now+takeWithin
+	s.do(e)
+}
+
+func (s *State) callerWritten(ev CallerWritten) {
+	c := s.callers[ev.Leg]
+	if c == nil || c.phase != callerAnswering {
+		return
+	}
+	switch {
+	case !ev.OK:
+		s.closeCaller(c)
+	case c.last:
+		// Guards against a reset that overtakes the answer: the leg is closed when the caller
+		// has closed it, or a while later.
+		s.phase(c, callerParting)
+		s.do(Effect{Do: PartCaller, Leg: c.id})
+		s.clock.add(s.now+partWithin, func() {
+			if s.callers[c.id] == c {
+				s.closeCaller(c)
+			}
+		})
+	default:
+		s.phase(c, callerIdle)
+	}
+}
+
+func (s *State) closeCaller(c *caller) {
+	s.do(Effect{Do: CloseCaller, Leg: c.id})
+	s.callerClosed(c.id)
+}
+
+// callerClosed forgets a caller leg. A branch that is out for it runs on.
+func (s *State) callerClosed(id LegID) {
+	c := s.callers[id]
+	if c == nil {
+		return
+	}
+	delete(s.callers, id)
+	if r := c.req; r != nil {
+		s.forget(r)
+		s.tell(lg.Departed{Request: r.id})
+	}
+}
+
+// limit is when an attempt that may take so long ends: never after its request.
+func (r *request) limit(now, may time.Duration) time.Duration {
+	if may <= 0 {
+		return r.deadline
+	}
+	return min(r.deadline, now+may)
+}
--- /dev/null
+++ b/internal/proxystate/events.go
@@ -0,0 +1,152 @@
+// Package proxystate is the proxy's one reducer: every change of its state is a Step that
+// takes an event and the absolute time and returns the effects to carry out, in their order.
+// It owns the Balancer, the requests, their branches, both kinds of leg, the pools and all
+// deadlines. It does no I/O, reads no clock, starts no goroutine and knows no protocol: what
+// a request and an answer look like is opaque to it.
+package proxystate
+
+import (
+	"time"
+
+	lg "lilacglade"
+)
+
+// LegID names a connection: a caller leg, numbered by whoever accepts it, or a hop leg to a
+// next hop, numbered here. The two kinds are counted apart.
+type LegID uint64
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// CallerOpened says that a caller leg was accepted.
+type CallerOpened struct{ Leg LegID }
+
+// CallerReading says that a request has begun to come in and is not whole yet.
+type CallerReading struct{ Leg LegID }
+
+// CallerAsked brings a whole request. Payload is what a next hop is to get.
+type CallerAsked struct {
+	Leg           LegID
+	Class, Tenant int
+	Key           uint64
+	HasKey        bool
+	Deadline      time.Duration // when the caller gives up
+	Repeat        bool
+	Payload       any
+	Last          bool // the caller closes the leg behind its answer
+}
+
+// CallerFaulty brings what can't be taken as a request. Last says that the leg is of no more use.
+type CallerFaulty struct {
+	Leg     LegID
+	Payload any // the answer to give
+	Last    bool
+}
+
+// CallerProbed asks whether the proxy is ready.
+type CallerProbed struct {
+	Leg  LegID
+	Last bool
+}
+
+// CallerWritten ends the writing of an answer.
+type CallerWritten struct {
+	Leg LegID
+	OK  bool
+}
+
+// CallerClosed says that a caller leg is gone.
+type CallerClosed struct{ Leg LegID }
+
+// HopDialed ends a Dial.
+type HopDialed struct {
+	Leg LegID
+	OK  bool
+}
+
+// HopWritten ends a Forward: OK when the last byte was written.
+type HopWritten struct {
+	Leg LegID
+	OK  bool
+}
+
+// HopAnswered brings a whole answer, or what is none. Keep says that the leg can be used again.
+type HopAnswered struct {
+	Leg     LegID
+	Result  lg.Result
+	Load    lg.LoadReport
+	Payload any
+	Keep    bool
+}
+
+// HopClosed says that a hop leg is gone.
+type HopClosed struct{ Leg LegID }
+
+// RoutesTold brings news of the route set, or a ListFailed.
+type RoutesTold struct{ List lg.List }
+
+// Woken says that the time of the last Arm has come.
+type Woken struct{}
+
+// Stopping says that the proxy is to end once all is answered.
+type Stopping struct{}
+
+func (CallerOpened) event()  {}
+func (CallerReading) event() {}
+func (CallerAsked) event()   {}
+func (CallerFaulty) event()  {}
+func (CallerProbed) event()  {}
+func (CallerWritten) event() {}
+func (CallerClosed) event()  {}
+func (HopDialed) event()     {}
+func (HopWritten) event()    {}
+func (HopAnswered) event()   {}
+func (HopClosed) event()     {}
+func (RoutesTold) event()    {}
+func (Woken) event()         {}
+func (Stopping) event()      {}
+
+// Do says what an Effect asks for.
+type Do uint8
+
+// The effects.
+const (
+	AnswerCaller Do = iota // write an answer to the caller leg by At; CallerWritten follows
+	PartCaller             // end sending on the caller leg, go on reading until it closes
+	CloseCaller
+	Dial    // open hop leg Leg to Server by At; HopDialed follows
+	Forward // write Payload to the hop leg by At; HopWritten follows
+	CloseHop
+	Arm    // Woken is due at At
+	Watch  // ask for the route set's changes; RoutesTold follows
+	Log    // a line for the operator
+	Finish // all is answered: end
+)
+
+// Verdict is the kind of an answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served   Verdict = iota // Payload is the next hop's answer
+	Busy                    // not done, and trying again is harmless, after Advice
+	Broken                  // no promise whether it was done
+	Late                    // the same, for want of time
+	Faulty                  // Payload is the answer
+	ReadyNow                // the proxy takes requests
+	NotReady                // it doesn't yet, or no more
+	TooSlow                 // the request took too long to come in
+)
+
+// Effect is something to carry out. Which fields count depends on Do.
+type Effect struct {
+	Do      Do
+	Leg     LegID
+	Server  lg.ServerID
+	At      time.Duration
+	Verdict Verdict
+	Advice  time.Duration
+	Payload any
+	Last    bool // the answer is the leg's last
+	Text    string
+}
--- /dev/null
+++ b/internal/proxystate/state.go
@@ -0,0 +1,328 @@
+package proxystate
+
+import (
+	"time"
+
+	lg "lilacglade"
+)
+
+// Times of the mechanism itself.
+const (
+	margin     = 5 * time.Millisecond // the final answer leaves this long before the caller gives up
+	sweepEvery = time.Second
+	readWithin = 10 * time.Second       // a request that takes longer to come in is ended
+	takeWithin = 10 * time.Second       // an answer that its caller doesn't read is given up
+	partWithin = time.Second            // a leg whose sending has ended is closed at the latest
+	drainFor   = 400 * time.Millisecond // callers still come this long after a planned stop begins
+	paceWatch  = 100 * time.Millisecond // between two calls for the route set at least
+)
+
+// Config is what a State knows from its start on.
+type Config struct {
+	Settings   lg.Settings
+	Seed       uint64
+	MaxCallers int           // caller legs held at once
+	MaxHops    int           // hop legs held at once
+	IdleHops   time.Duration // an idle hop leg is closed after this
+}
+
+// State is the whole state of a proxy. New makes one; one goroutine owns it.
+type State struct {
+	cfg      Config
+	bal      *lg.Balancer
+	now      time.Duration
+	effects  []Effect
+	todo     []lg.Event // for the Balancer
+	clock    clock
+	armed    time.Duration
+	callers  map[LegID]*caller
+	requests map[lg.RequestID]*request
+	hops     map[lg.ServerID]*hop
+	legs     map[LegID]*hopLeg
+	lastLeg  LegID
+	lastID   lg.RequestID
+	runOut   time.Duration // how long a leg may wait for an answer that nobody wants any more
+	watched  time.Duration // when the last watch began
+	stopping bool
+	drained  bool // no more callers are expected
+}
+
+// callerPhase is where a caller leg stands.
+type callerPhase uint8
+
+const (
+	callerIdle callerPhase = iota
+	callerReading
+	callerAsking    // its request is being worked on
+	callerAnswering // its answer is being written
+	callerParting   // its last answer was written
+)
+
+type caller struct {
+	id    LegID
+	phase callerPhase
+	since time.Duration // start of the phase
+	req   *request
+	last  bool // to be closed after the answer
+	over  bool // beyond the cap
+}
+
+// request is a request that is not answered, or whose branch is still out.
+type request struct {
+	id       lg.RequestID
+	caller   *caller // nil once it has left
+	deadline time.Duration
+	payload  any
+	branch   *branch // the one that is out
+	sent     int     // branches so far
+	mayRun   bool    // a branch may have run
+	late     bool    // a branch has timed out
+	done     bool    // the final answer is given, or none is owed
+}
+
+// branch is one attempt of a request.
+type branch struct {
+	req    *request
+	number int
+	hop    *hop
+	sent   time.Duration
+	until  time.Duration
+	leg    *hopLeg // nil while it waits for one
+}
+
+// hop is one next hop.
+type hop struct {
+	id      lg.ServerID
+	state   lg.State
+	idle    []*hopLeg // newest last
+	waiting []*branch // oldest first
+	dialing int
+}
+
+// hopPhase is where a hop leg stands.
+type hopPhase uint8
+
+const (
+	hopDialing hopPhase = iota
+	hopIdle
+	hopWriting
+	hopWaiting // for an answer
+	hopEarly   // answered while the request is still being written
+)
+
+type hopLeg struct {
+	id     LegID
+	hop    *hop
+	phase  hopPhase
+	branch *branch // nil when nobody waits for its answer any more
+	since  time.Duration
+	closed bool // the connection broke while the request was being written
+	keep   bool // early answer: the leg can be used again
+}
+
+// New returns a State. Its first effects come with the first Step.
+func New(cfg Config) (*State, error) {
+	bal, err := lg.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	s := &State{cfg: cfg, bal: bal, callers: map[LegID]*caller{}, requests: map[lg.RequestID]*request{},
+		hops: map[lg.ServerID]*hop{}, legs: map[LegID]*hopLeg{}}
+	for _, c := range cfg.Settings.Classes {
+		s.runOut = max(s.runOut, c.Deadline)
+	}
+	s.clock.add(0, s.sweep)
+	return s, nil
+}
+
+// Step takes one event at the given time. The slice is used again by the next call.
+func (s *State) Step(now time.Duration, ev Event) []Effect {
+	s.now = max(s.now, now)
+	s.effects = s.effects[:0]
+	s.take(ev)
+	s.settle()
+	for do := s.clock.next(s.now); do != nil; do = s.clock.next(s.now) {
+		do()
+		s.settle()
+	}
+	if s.drained && !s.answering() {
+		s.do(Effect{Do: Finish})
+	}
+	if at := s.clock[0].at; at != s.armed { // the sweep is always due some time
+		s.armed = at
+		s.do(Effect{Do: Arm, At: at})
+	}
+	return s.effects
+}
+
+func (s *State) do(e Effect) { s.effects = append(s.effects, e) }
+
+// tell queues an event for the Balancer.
+func (s *State) tell(ev lg.Event) { s.todo = append(s.todo, ev) }
+
+// settle hands the Balancer what is queued and does what it asks for, which may queue more.
+func (s *State) settle() {
+	for len(s.todo) > 0 {
+		ev := s.todo[0]
+		s.todo = s.todo[1:]
+		for _, a := range s.bal.Handle(s.now, ev) {
+			s.act(a)
+		}
+	}
+	s.todo = s.todo[:0]
+}
+
+func (s *State) act(a lg.Action) {
+	switch a.Do {
+	case lg.Send:
+		s.send(a)
+	case lg.Refuse:
+		if r := s.requests[a.Request]; r != nil {
+			s.finish(r, Effect{Verdict: Busy, Advice: a.For})
+		}
+	case lg.Fail:
+		if r := s.requests[a.Request]; r != nil {
+			s.finish(r, Effect{Verdict: Broken})
+		}
+	case lg.SetTimer:
+		s.clock.add(s.now+a.For, func() { s.tell(lg.Timer{Token: a.Token}) })
+	case lg.Subscribe:
+		s.watch()
+	case lg.Log:
+		s.do(Effect{Do: Log, Text: a.Text})
+	}
+}
+
+func (s *State) take(ev Event) {
+	switch ev := ev.(type) {
+	case CallerOpened:
+		s.opened(ev.Leg)
+	case CallerReading:
+		if c := s.callers[ev.Leg]; c != nil && c.phase == callerIdle {
+			s.phase(c, callerReading)
+		}
+	case CallerAsked:
+		s.asked(ev)
+	case CallerFaulty:
+		s.reply(ev.Leg, Effect{Verdict: Faulty, Payload: ev.Payload, Last: ev.Last})
+	case CallerProbed:
+		verdict := NotReady
+		if s.ready() {
+			verdict = ReadyNow
+		}
+		s.reply(ev.Leg, Effect{Verdict: verdict, Last: ev.Last})
+	case CallerWritten:
+		s.callerWritten(ev)
+	case CallerClosed:
+		s.callerClosed(ev.Leg)
+	case HopDialed:
+		s.dialed(ev)
+	case HopWritten:
+		s.hopWritten(ev)
+	case HopAnswered:
+		s.answered(ev)
+	case HopClosed:
+		s.hopClosed(ev.Leg)
+	case RoutesTold:
+		s.told(ev.List)
+	case Stopping:
+		if !s.stopping {
+			s.stopping = true
+			s.clock.add(s.now+drainFor, s.drain)
+		}
+	}
+}
+
+// ready tells whether there is a next hop that takes requests.
+func (s *State) ready() bool {
+	for _, h := range s.hops {
+		if h.state == lg.Ready {
+			return !s.stopping
+		}
+	}
+	return false
+}
+
+// told takes in the route set's news and goes on watching.
+func (s *State) told(list lg.List) {
+	s.tell(list)
+	if list.Kind == lg.ListFailed {
+		return // the Balancer asks again when it thinks fit
+	}
+	named := map[lg.ServerID]bool{}
+	for _, l := range list.Servers {
+		named[l.ID] = true
+		h := s.hops[l.ID]
+		if h == nil && l.State != lg.Gone {
+			h = &hop{id: l.ID}
+			s.hops[l.ID] = h
+		}
+		if h != nil {
+			s.setState(h, l.State)
+		}
+	}
+	if list.Kind != lg.Changes {
+		for id, h := range s.hops {
+			if !named[id] {
+				s.setState(h, lg.Gone)
+			}
+		}
+	}
+	if list.Kind != lg.CachedList {
+		s.clock.add(max(s.now, s.watched+paceWatch), s.watch)
+	}
+}
+
+func (s *State) watch() {
+	s.watched = s.now
+	s.do(Effect{Do: Watch})
+}
+
+// setState notes what the route set says of a next hop. One that takes nothing new needs no
+// idle legs.
+func (s *State) setState(h *hop, state lg.State) {
+	if h.state = state; state == lg.Ready {
+		return
+	}
+	for len(h.idle) > 0 {
+		s.drop(h.idle[0])
+	}
+	if state == lg.Gone {
+		delete(s.hops, h.id)
+	}
+}
+
+// sweep closes what has stood too long.
+func (s *State) sweep() {
+	s.clock.add(s.now+sweepEvery, s.sweep)
+	for _, h := range s.hops {
+		for len(h.idle) > 0 && s.now-h.idle[0].since >= s.cfg.IdleHops {
+			s.drop(h.idle[0])
+		}
+	}
+	for _, c := range s.callers {
+		if c.phase == callerReading && s.now-c.since >= readWithin {
+			s.reply(c.id, Effect{Verdict: TooSlow, Last: true})
+		}
+	}
+}
+
+// drain ends the stay of idle callers: from now on a leg closes with its answer.
+func (s *State) drain() {
+	s.drained = true
+	for _, c := range s.callers {
+		if c.phase == callerIdle {
+			s.closeCaller(c)
+		}
+	}
+}
+
+// answering tells whether a caller leg has more to get.
+func (s *State) answering() bool {
+	for _, c := range s.callers {
+		if c.phase != callerIdle && c.phase != callerParting {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/routeset/routeset.go
@@ -0,0 +1,145 @@
+// Package routeset holds the route set: discovery's documents, their versions, and where
+// each next hop listens.
+package routeset
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	lg "lilacglade"
+)
+
+// Set is the route set as last told.
+type Set struct {
+	Version uint64 // 0 when the whole list is wanted next
+
+	zones, kinds []string
+	epoch        time.Time // when the proxy's clock read 0
+	addrs        map[lg.ServerID]string
+}
+
+// New returns an empty Set. The names give zones and kinds their numbers; epoch is the
+// moment at which the proxy's clock read 0.
+func New(zones, kinds []string, epoch time.Time) *Set {
+	return &Set{zones: zones, kinds: kinds, epoch: epoch, addrs: map[lg.ServerID]string{}}
+}
+
+// Address tells where a next hop listens, "" when the route set doesn't name it.
+func (s *Set) Address(id lg.ServerID) string { return s.addrs[id] }
+
+// ID is the number of an instance, the same at every proxy. It comes from the instance's
+// name, since addresses may differ from one proxy to the next.
+func ID(instance string) lg.ServerID { return lg.ServerID(Hash([]byte(instance))) }
+
+// Hash maps a name to a number, the same at every proxy.
+func Hash(name []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(name)
+	return h.Sum64()
+}
+
+type document struct {
+	Version   *uint64 `json:"generation"`
+	Full      bool    `json:"reset"`
+	Instances []struct {
+		ID      string  `json:"instanceId"`
+		Addr    string  `json:"hostPort"`
+		Zone    string  `json:"zone"`
+		Kind    string  `json:"machineType"`
+		Cell    int     `json:"cell"`
+		State   string  `json:"lifecycle"`
+		Weight  float64 `json:"weight"`
+		Started float64 `json:"startedAtMs"`
+	} `json:"instances"`
+}
+
+var states = map[string]lg.State{"ready": lg.Ready, "draining": lg.Draining, "gone": lg.Gone}
+
+// maxStarted is far beyond any Unix time in milliseconds that a clock shows.
+const maxStarted = 1 << 45
+
+// Apply takes a document in. One that makes no sense changes nothing but Version: the last
+// good route set stays, and the whole list is wanted next.
+func (s *Set) Apply(raw []byte) (lg.List, error) {
+	list, version, addrs, err := s.read(raw)
+	if err != nil {
+		s.Version = 0
+		return lg.List{}, fmt.Errorf("route set: %w", err)
+	}
+	if list.Kind == lg.FullList {
+		clear(s.addrs)
+	}
+	for i, l := range list.Servers {
+		if l.State == lg.Gone {
+			delete(s.addrs, l.ID)
+		} else {
+			s.addrs[l.ID] = addrs[i]
+		}
+	}
+	s.Version = version
+	return list, nil
+}
+
+func (s *Set) read(raw []byte) (list lg.List, version uint64, addrs []string, err error) {
+	var doc document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return list, 0, nil, err
+	}
+	switch {
+	case doc.Version == nil:
+		return list, 0, nil, errors.New("no generation")
+	case !doc.Full && *doc.Version < s.Version:
+		return list, 0, nil, fmt.Errorf("changes up to %d, but %d is known", *doc.Version, s.Version)
+	case doc.Full && len(doc.Instances) == 0 && len(s.addrs) > 0:
+		// Guards against a discovery that has lost its memory: it would end all service.
+		return list, 0, nil, errors.New("a whole list without instances")
+	}
+	if doc.Full {
+		list.Kind = lg.FullList
+	}
+	seen := map[lg.ServerID]bool{}
+	for _, in := range doc.Instances {
+		state, ok := states[in.State]
+		l := lg.Server{ID: ID(in.ID), Zone: slices.Index(s.zones, in.Zone), Kind: slices.Index(s.kinds, in.Kind),
+			Cell: in.Cell, State: state, Weight: in.Weight}
+		addr, bad := netip.ParseAddrPort(in.Addr)
+		switch {
+		case in.ID == "" || seen[l.ID]:
+			return list, 0, nil, fmt.Errorf("instanceId %q is empty or repeated", in.ID)
+		case !ok:
+			return list, 0, nil, fmt.Errorf("instance %s: unknown lifecycle %q", in.ID, in.State)
+		case state != lg.Gone && (bad != nil || addr.Port() == 0):
+			return list, 0, nil, fmt.Errorf("instance %s: hostPort %q", in.ID, in.Addr)
+		case in.Weight < 0 || math.IsInf(in.Weight, 0):
+			return list, 0, nil, fmt.Errorf("instance %s: weight %v", in.ID, in.Weight)
+		case in.Started < 0 || in.Started > maxStarted:
+			return list, 0, nil, fmt.Errorf("instance %s: startedAtMs %v", in.ID, in.Started)
+		}
+		// Against one fixed epoch, so that the same start always gives the same time: a
+		// start that moved would look like a restart.
+		if in.Started > 0 {
+			l.Started = time.UnixMilli(int64(in.Started)).Sub(s.epoch)
+		}
+		seen[l.ID] = true
+		list.Servers = append(list.Servers, l)
+		addrs = append(addrs, in.Addr)
+	}
+	return list, *doc.Version, addrs, nil
+}
+
+// Query is what to ask discovery for next: the whole list, or a watch on what has changed
+// since the version that is known, lasting at most until the given time.
+func (s *Set) Query(now, until time.Duration) string {
+	if s.Version == 0 {
+		return "/v1/servers"
+	}
+	return "/v1/servers?since=" + strconv.FormatUint(s.Version, 10) +
+		"&timeout_ms=" + strconv.FormatInt(max(0, until-now).Milliseconds(), 10)
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -1,5 +1,5 @@
 // Package wire speaks the simulator's binary protocol: it turns batches of records into
-// events for harrierfront.Balancers and their actions into replies. It decides nothing.
+// events for lilacglade.Balancers and their actions into replies. It decides nothing.
 package wire
 
 import (
@@ -10,7 +10,8 @@
 	"math"
 	"time"
 
-	hf "harrierfront"
+	lg "lilacglade"
+	"lilacglade/internal/settings"
 )
 
 const (
@@ -88,7 +89,8 @@
 	if need := batchHeader + uint64(count)*eventSize; uint64(size) < need {
 		return nil, buf, fmt.Errorf("frame header: length %d, but %d records take %d", size, count, need)
 	}
-	if !(math.Abs(ms) < maxMillis) {
+	now := settings.Millis(ms)
+	if now == 0 && ms != 0 {
 		return nil, buf, fmt.Errorf("frame header: clock %v", ms)
 	}
 	// The buffer grows with what arrives, not with what the header claims.
@@ -103,50 +105,41 @@
 		}
 	}
 	cut := int(count) * eventSize
-	return &batch{count: int(count), now: fromMillis(ms), body: buf[:cut], tail: buf[cut:want]}, buf, nil
-}
-
-const maxMillis = 1e12 // some thirty years: no clock or delay of the wire comes near it
-
-func fromMillis(ms float64) time.Duration {
-	if !(math.Abs(ms) < maxMillis) {
-		ms = 0
-	}
-	return time.Duration(math.Round(ms * 1e6))
+	return &batch{count: int(count), now: now, body: buf[:cut], tail: buf[cut:want]}, buf, nil
 }
 
 func toMillis(d time.Duration) float64 { return float64(d) / 1e6 }
 
 func millisAt(rec []byte, at int) time.Duration {
-	return fromMillis(math.Float64frombits(order.Uint64(rec[at:])))
+	return settings.Millis(math.Float64frombits(order.Uint64(rec[at:])))
 }
 
 // serverID packs address and port, serverAt unpacks nothing but the bytes as they came.
-func serverID(rec []byte, at int) hf.ServerID {
-	return hf.ServerID(order.Uint32(rec[at:]))<<16 | hf.ServerID(order.Uint16(rec[at+4:]))
+func serverID(rec []byte, at int) lg.ServerID {
+	return lg.ServerID(order.Uint32(rec[at:]))<<16 | lg.ServerID(order.Uint16(rec[at+4:]))
 }
 
-func putServer(rec []byte, at int, id hf.ServerID) {
+func putServer(rec []byte, at int, id lg.ServerID) {
 	order.PutUint32(rec[at:], uint32(id>>16))
 	order.PutUint16(rec[at+4:], uint16(id))
 }
 
-func loadAt(rec []byte, at int) (hf.LoadReport, error) {
+func loadAt(rec []byte, at int) (lg.LoadReport, error) {
 	n := int(rec[at])
 	if n > 4 {
-		return hf.LoadReport{}, fmt.Errorf("load report of %d values, at most 4 fit", n)
+		return lg.LoadReport{}, fmt.Errorf("load report of %d values, at most 4 fit", n)
 	}
-	l := hf.LoadReport{N: n}
+	l := lg.LoadReport{N: n}
 	for i := range n {
 		l.Values[i] = float64(math.Float32frombits(order.Uint32(rec[at+1+4*i:])))
 	}
 	return l, nil
 }
 
-var results = map[uint16]hf.Result{1: hf.OK, 2: hf.ServerError, 3: hf.Full, 4: hf.TimedOut,
-	5: hf.ConnectFailed, 6: hf.Reset, 7: hf.Canceled, 8: hf.Moot}
+var results = map[uint16]lg.Result{1: lg.OK, 2: lg.ServerError, 3: lg.Full, 4: lg.TimedOut,
+	5: lg.ConnectFailed, 6: lg.Reset, 7: lg.Canceled, 8: lg.Moot}
 
-func resultAt(rec []byte, at int) (hf.Result, error) {
+func resultAt(rec []byte, at int) (lg.Result, error) {
 	code := order.Uint16(rec[at:])
 	r, ok := results[code]
 	if !ok {
@@ -156,10 +149,10 @@
 }
 
 // entries decodes a table.
-func entries(raw []byte) ([]hf.Server, error) {
-	list := make([]hf.Server, 0, len(raw)/entrySize)
+func entries(raw []byte) ([]lg.Server, error) {
+	list := make([]lg.Server, 0, len(raw)/entrySize)
 	for ; len(raw) > 0; raw = raw[entrySize:] {
-		s := hf.Server{
+		s := lg.Server{
 			ID:      serverID(raw, 0),
 			Zone:    int(raw[6]),
 			Kind:    int(raw[7]),
@@ -169,11 +162,11 @@
 		}
 		switch raw[10] {
 		case 0:
-			s.State = hf.Draining
+			s.State = lg.Draining
 		case 1:
-			s.State = hf.Gone
+			s.State = lg.Gone
 		case 2:
-			s.State = hf.Ready
+			s.State = lg.Ready
 		default:
 			return nil, fmt.Errorf("entry %d: unknown status %d", len(list), raw[10])
 		}
@@ -211,26 +204,26 @@
 }
 
 // action encodes one action of the current instance.
-func (r *reply) action(a hf.Action) {
+func (r *reply) action(a lg.Action) {
 	switch a.Do {
-	case hf.Send:
+	case lg.Send:
 		rec := r.add(acIssue)
 		order.PutUint32(rec[1:], uint32(a.Request))
 		putServer(rec, 5, a.Server)
 		r.float(rec, 11, a.For)
-	case hf.Refuse:
+	case lg.Refuse:
 		rec := r.add(acShed)
 		order.PutUint32(rec[1:], uint32(a.Request))
 		r.float(rec, 5, a.For)
-	case hf.Fail:
+	case lg.Fail:
 		order.PutUint32(r.add(acFinishError)[1:], uint32(a.Request))
-	case hf.SetTimer:
+	case lg.SetTimer:
 		rec := r.add(acTimer)
 		r.float(rec, 1, a.For)
 		order.PutUint32(rec[9:], a.Token)
-	case hf.Subscribe:
+	case lg.Subscribe:
 		r.add(acFollow)[1] = 1
-	case hf.Log:
+	case lg.Log:
 		r.text(acRecord, a.Text)
 	}
 }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,20 +8,21 @@
 	"math"
 	"time"
 
-	hf "harrierfront"
+	lg "lilacglade"
+	"lilacglade/internal/settings"
 )
 
 // Host runs many instances, each with a Balancer of its own.
 type Host struct {
-	instances map[uint16]*hf.Balancer
-	tables    map[uint16][]hf.Server
+	instances map[uint16]*lg.Balancer
+	tables    map[uint16][]lg.Server
 	out       reply
 	context   int // instance that the reply's last Context names, -1 for none
 }
 
 // NewHost returns a Host without instances.
 func NewHost() *Host {
-	return &Host{instances: map[uint16]*hf.Balancer{}, tables: map[uint16][]hf.Server{}}
+	return &Host{instances: map[uint16]*lg.Balancer{}, tables: map[uint16][]lg.Server{}}
 }
 
 // Serve answers the batches of r on w until the input ends. It returns nil at a clean end
@@ -99,11 +100,11 @@
 		if err != nil {
 			return fmt.Errorf("Create: %w", err)
 		}
-		set, err := settings(raw)
+		set, err := settings.Decode(raw)
 		if err != nil {
 			return fmt.Errorf("Create: %w", err)
 		}
-		h.instances[inst], err = hf.New(set, order.Uint64(rec[1:]))
+		h.instances[inst], err = lg.New(set.Settings, order.Uint64(rec[1:]))
 		if err != nil {
 			return fmt.Errorf("Create: %w", err)
 		}
@@ -128,7 +129,7 @@
 }
 
 // act hands the event over and encodes the actions; a panic becomes GiveIn.
-func (h *Host) act(inst uint16, bal *hf.Balancer, now time.Duration, ev hf.Event) {
+func (h *Host) act(inst uint16, bal *lg.Balancer, now time.Duration, ev lg.Event) {
 	defer func() {
 		if p := recover(); p != nil {
 			h.enter(inst)
@@ -149,7 +150,7 @@
 	}
 }
 
-func (h *Host) decode(b *batch, rec []byte) (hf.Event, error) {
+func (h *Host) decode(b *batch, rec []byte) (lg.Event, error) {
 	switch rec[0] {
 	case evReturned:
 		res, err := resultAt(rec, 5)
@@ -160,7 +161,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("Returned: %w", err)
 		}
-		return hf.Outcome{Request: hf.RequestID(order.Uint32(rec[1:])), Result: res,
+		return lg.Outcome{Request: lg.RequestID(order.Uint32(rec[1:])), Result: res,
 			Attempt: int(order.Uint16(rec[7:])), Server: serverID(rec, 9), Closed: rec[15] != 0,
 			Latency: millisAt(rec, 16), Load: load}, nil
 	case evSampled:
@@ -172,16 +173,16 @@
 		if err != nil {
 			return nil, fmt.Errorf("Sampled: %w", err)
 		}
-		return hf.ProbeResult{Server: serverID(rec, 9), Result: res, Latency: millisAt(rec, 1), Load: load}, nil
+		return lg.ProbeResult{Server: serverID(rec, 9), Result: res, Latency: millisAt(rec, 1), Load: load}, nil
 	case evFired:
-		return hf.Timer{Token: order.Uint32(rec[1:])}, nil
+		return lg.Timer{Token: order.Uint32(rec[1:])}, nil
 	case evMembership:
 		kind := rec[1]
-		if kind > uint8(hf.ListFailed) {
+		if kind > uint8(lg.ListFailed) {
 			return nil, fmt.Errorf("Membership: unknown scope %d", kind)
 		}
-		l := hf.List{Kind: hf.ListKind(kind)}
-		if l.Kind != hf.ListFailed {
+		l := lg.List{Kind: lg.ListKind(kind)}
+		if l.Kind != lg.ListFailed {
 			page := order.Uint16(rec[6:])
 			list, ok := h.tables[page]
 			if !ok {
@@ -195,20 +196,20 @@
 		if err != nil {
 			return nil, fmt.Errorf("PeerData: %w", err)
 		}
-		return hf.PeerMessage{From: int(order.Uint16(rec[1:])), Body: body}, nil
+		return lg.PeerMessage{From: int(order.Uint16(rec[1:])), Body: body}, nil
 	case evKnock:
-		r := hf.Request{ID: hf.RequestID(order.Uint32(rec[1:])), Class: int(order.Uint16(rec[5:])),
+		r := lg.Request{ID: lg.RequestID(order.Uint32(rec[1:])), Class: int(order.Uint16(rec[5:])),
 			Tenant: int(order.Uint32(rec[7:])), Key: order.Uint64(rec[11:]), Budget: millisAt(rec, 19)}
 		r.HasKey = r.Key != 0
 		if ms := math.Float64frombits(order.Uint64(rec[27:])); rec[35]&1 != 0 && ms > 0 {
-			r.Cost = fromMillis(ms)
+			r.Cost = settings.Millis(ms)
 		}
 		r.Repeat = rec[35]&2 != 0
 		return r, nil
 	case evHeadReceived:
-		return hf.AnswerStarted{Request: hf.RequestID(order.Uint32(rec[1:])),
+		return lg.AnswerStarted{Request: lg.RequestID(order.Uint32(rec[1:])),
 			Attempt: int(order.Uint16(rec[5:])), Server: serverID(rec, 7)}, nil
 	default: // evClientLeft, the last code that answer lets through
-		return hf.Departed{Request: hf.RequestID(order.Uint32(rec[1:]))}, nil
+		return lg.Departed{Request: lg.RequestID(order.Uint32(rec[1:]))}, nil
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,8 @@
 	"testing"
 	"time"
 
-	hf "harrierfront"
+	lg "lilacglade"
+	"lilacglade/internal/settings"
 )
 
 const bootJSON = `{"azs": ["a", "b"], "balancers": 2, "me": 1, "zone": 1, "future-key": {"x": [1]},
@@ -79,10 +80,10 @@
 	rec := append(unhex(t, "00 5d3a91c4 0001 0000 0a124a07 232b 01 4032800000000000"+
 		"03 3f1eb852 40e00000 3f000000 00000000"), make([]byte, 7)...)
 	got, err := NewHost().decode(&batch{}, rec)
-	want := hf.Outcome{Request: 0x5d3a91c4, Server: 0x0a124a07232b, Result: hf.OK, Closed: true,
+	want := lg.Outcome{Request: 0x5d3a91c4, Server: 0x0a124a07232b, Result: lg.OK, Closed: true,
 		Latency: 18500 * time.Microsecond,
-		Load:    hf.LoadReport{N: 3, Values: [4]float64{float64(float32(0.62)), 7, 0.5, 0}}}
-	if err != nil || got != hf.Event(want) {
+		Load:    lg.LoadReport{N: 3, Values: [4]float64{float64(float32(0.62)), 7, 0.5, 0}}}
+	if err != nil || got != lg.Event(want) {
 		t.Errorf("got %+v, %v; want %+v", got, err, want)
 	}
 }
@@ -91,27 +92,27 @@
 	rec := append(unhex(t, "09 5d3a91c4 0000 00000000 91f03b7c55d20a64 406e000000000000 4028000000000000 01"),
 		make([]byte, 12)...)
 	got, err := NewHost().decode(&batch{}, rec)
-	want := hf.Request{ID: 0x5d3a91c4, Key: 0x91f03b7c55d20a64, HasKey: true,
+	want := lg.Request{ID: 0x5d3a91c4, Key: 0x91f03b7c55d20a64, HasKey: true,
 		Budget: 240 * time.Millisecond, Cost: 12 * time.Millisecond}
-	if err != nil || got != hf.Event(want) {
+	if err != nil || got != lg.Event(want) {
 		t.Errorf("got %+v, %v; want %+v", got, err, want)
 	}
 }
 
 func TestActionsEncode(t *testing.T) {
 	tests := []struct {
-		a    hf.Action
+		a    lg.Action
 		want string
 	}{
-		{hf.Action{Do: hf.Send, Request: 0x5d3a91c4, Server: 0x0a124a07232b, For: 80 * time.Millisecond},
+		{lg.Action{Do: lg.Send, Request: 0x5d3a91c4, Server: 0x0a124a07232b, For: 80 * time.Millisecond},
 			"40 5d3a91c4 0a124a07 232b 4054000000000000 0000000000"},
-		{hf.Action{Do: hf.Refuse, Request: 0x0e6f2b19, For: 250 * time.Millisecond},
+		{lg.Action{Do: lg.Refuse, Request: 0x0e6f2b19, For: 250 * time.Millisecond},
 			"41 0e6f2b19 406f400000000000 0000000000000000000000"},
-		{hf.Action{Do: hf.Fail, Request: 0x0e6f2b19}, "47 0e6f2b19 00000000000000000000000000000000000000"},
-		{hf.Action{Do: hf.SetTimer, For: 500 * time.Millisecond, Token: 0x4d},
+		{lg.Action{Do: lg.Fail, Request: 0x0e6f2b19}, "47 0e6f2b19 00000000000000000000000000000000000000"},
+		{lg.Action{Do: lg.SetTimer, For: 500 * time.Millisecond, Token: 0x4d},
 			"45 407f400000000000 0000004d 0000000000000000000000"},
-		{hf.Action{Do: hf.Subscribe}, "43 01 00000000000000000000000000000000000000000000"},
-		{hf.Action{Do: hf.Log, Text: "two servers known"}, "44 00000000 00000011" + strings.Repeat("00", 15) +
+		{lg.Action{Do: lg.Subscribe}, "43 01 00000000000000000000000000000000000000000000"},
+		{lg.Action{Do: lg.Log, Text: "two servers known"}, "44 00000000 00000011" + strings.Repeat("00", 15) +
 			"74776f2073657276657273206b6e6f776e"},
 	}
 	for _, tc := range tests {
@@ -134,15 +135,15 @@
 }
 
 func TestSettings(t *testing.T) {
-	set, err := settings([]byte(bootJSON))
+	set, err := settings.Decode([]byte(bootJSON))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(set.Report) != 3 || set.Report[1] != hf.LoadOther ||
-		set.Report[2] != hf.LoadInFlight {
+	if len(set.Report) != 3 || set.Report[1] != lg.LoadOther ||
+		set.Report[2] != lg.LoadInFlight {
 		t.Errorf("report fields %v", set.Report)
 	}
-	if c := set.Classes[1]; c.Group != hf.GroupCell || c.Memory != 600*time.Millisecond || !set.WorthByWork {
+	if c := set.Classes[1]; c.Group != lg.GroupCell || c.Memory != 600*time.Millisecond || !set.WorthByWork {
 		t.Errorf("got %+v", set)
 	}
 }
@@ -171,7 +172,7 @@
 		"unknown scope":     {with("05 07 00000029 0000"), "unknown scope 7"},
 		"unknown ending":    {with("00 00000001 0009"), "unknown ending 9"},
 		"load report of 5":  {with("00 00000001 0001 0000 0a124a07 232b 01 4032800000000000 05"), "5 values"},
-		"broken settings":   {spoilt(`{"azs"`, `["azs"`), "boot-info"},
+		"broken settings":   {spoilt(`{"azs"`, `["azs"`), "settings"},
 		"unknown class":     {spoilt(`"semantics": "safe"`, `"semantics": "sofa"`), `unknown kind "sofa"`},
 		"stage past tiers":  {spoilt(`"stage": 0`, `"stage": 3`), "stage 3"},
 		"zone out of range": {spoilt(`"zone": 1`, `"zone": 7`), "Zone is 7"},
