Check the connections' states against a model, and close legs that time out

Tests: FuzzSteps plays random callers, next hops and discovery against a model of both kinds of leg (one answer each, one branch at a time, none after the answer, none to a next hop that drains, no refusal of what may have run, deadlines kept, a stop that ends). FuzzParser checks that the pieces in which a stream comes change nothing. Integration tests start the binary and speak to it over sockets.

--- a/cmd/lilacglade/main.go
+++ b/cmd/lilacglade/main.go
@@ -1,9 +1,11 @@
-// Command lilacglade is the proxy.
+// Command lilacglade is the proxy: its command line.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math"
 	"os"
 	"os/signal"
@@ -11,25 +13,73 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/spf13/pflag"
+
 	"lilacglade/internal/legs"
 	"lilacglade/internal/settings"
 )
 
+// version is the release; a build may set another with -ldflags "-X main.version=...".
+var version = "0.1.0"
+
+// memoryPart of the limit is what the Go runtime may use before it collects harder; the rest
+// is for the kernel's part of the sockets and for the program itself.
+const memoryPart = 0.75
+
+const usage = `usage: lilacglade [serve|check|version] [flags]
+
+  serve    run the proxy until SIGTERM (the default)
+  check    read the configuration, say whether it can be served, and end
+  version  print the version
+
+flags:
+`
+
 func main() {
-	node, err := settings.Load(os.Getenv)
-	if err == nil {
-		err = serve(node)
-	}
-	if err != nil {
+	err := run(os.Args[1:], os.Stdout)
+	switch {
+	case errors.Is(err, pflag.ErrHelp):
+	case err != nil:
 		fmt.Fprintln(os.Stderr, "lilacglade:", err)
 		os.Exit(1)
 	}
 }
 
-// memoryPart of the limit is what the Go runtime may use before it collects harder.
-const memoryPart = 0.75
-
-func serve(node settings.Node) error {
+func run(args []string, out io.Writer) error {
+	flags := pflag.NewFlagSet("lilacglade", pflag.ContinueOnError)
+	config := flags.StringP("config", "c", "", "configuration file (default: the one that NODE_CONFIG names)")
+	flags.Usage = func() { fmt.Fprint(out, usage, flags.FlagUsages()) }
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	command := "serve"
+	if flags.NArg() > 0 {
+		command = flags.Arg(0)
+	}
+	if flags.NArg() > 1 {
+		return fmt.Errorf("%s: unexpected argument %q", command, flags.Arg(1))
+	}
+	switch command {
+	case "version":
+		fmt.Fprintln(out, "lilacglade", version)
+		return nil
+	case "check", "serve":
+	default:
+		return fmt.Errorf("%q: no such command; see --help", command)
+	}
+	node, err := settings.Load(func(key string) string {
+		if key == "NODE_CONFIG" && *config != "" {
+			return *config
+		}
+		return os.Getenv(key)
+	})
+	if err != nil {
+		return err
+	}
+	if command == "check" {
+		fmt.Fprintf(out, "%s can be served on %s\n", node.Name, node.Listen)
+		return nil
+	}
 	runtime.GOMAXPROCS(int(math.Ceil(node.Limits.Cores)))
 	debug.SetMemoryLimit(int64(memoryPart * float64(node.Limits.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- /dev/null
+++ b/cmd/lilacglade/serve_test.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience only ends a test that hangs; no verdict rests on how fast anything is.
+const patience = 20 * time.Second
+
+// binary builds the program once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lilacglade")
+	if err == nil {
+		binary = filepath.Join(dir, "lilacglade")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	code := 1
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// album is an album server whose answers a test gives.
+func album(t *testing.T, answer http.HandlerFunc) string {
+	s := httptest.NewServer(answer)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// discovery lists the album servers at the given addresses; it never has news.
+func discovery(t *testing.T, addrs ...string) string {
+	var list []string
+	for i, a := range addrs {
+		list = append(list, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":"%s","zone":"harbor-st",`+
+			`"machineType":"std-2","cell":0,"lifecycle":"ready","weight":1,"startedAtMs":0}`, i, a))
+	}
+	done := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("since") != "" {
+			select {
+			case <-done:
+			case <-r.Context().Done():
+			}
+			return
+		}
+		fmt.Fprint(w, `{"generation":1,"reset":true,"instances":[`+strings.Join(list, ",")+`]}`)
+	}))
+	t.Cleanup(func() { close(done); s.Close() })
+	return s.Listener.Addr().String()
+}
+
+type node struct {
+	t    *testing.T
+	addr string
+	cmd  *exec.Cmd
+}
+
+// start runs the program with the example's configuration and waits until it is ready.
+func start(t *testing.T, discovery string) *node {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{t: t, addr: ln.Addr().String()}
+	ln.Close()
+	n.cmd = exec.Command(binary, "serve", "--config", "../../examples/config.json")
+	n.cmd.Env = append(os.Environ(), "NODE_LISTEN="+n.addr, "NODE_DISCOVERY="+discovery)
+	var log bytes.Buffer
+	n.cmd.Stderr = &log
+	if err := n.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		n.cmd.Process.Kill()
+		n.cmd.Wait()
+		if t.Failed() {
+			t.Logf("its log:\n%s", log.String())
+		}
+	})
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		if res, err := http.Get("http://" + n.addr + "/healthz"); err == nil {
+			res.Body.Close()
+			if res.StatusCode == 200 {
+				return n
+			}
+		}
+	}
+	t.Fatal("never ready")
+	return nil
+}
+
+// say writes raw bytes on a connection of its own and returns it.
+func (n *node) say(raw string) (net.Conn, *bufio.Reader) {
+	n.t.Helper()
+	conn, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(conn, raw); err != nil {
+		n.t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+// hear reads one answer.
+func (n *node) hear(r *bufio.Reader) (*http.Response, string) {
+	n.t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return res, string(body)
+}
+
+const (
+	edit = "POST /api?x=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nRequest-Class: album-edit\r\n" +
+		"Tenant: port-alder\r\nAffinity-Key: k\r\nRequest-Timeout-Ms: 20000\r\n"
+	whole = edit + "Content-Length: 3\r\n\r\nabc"
+)
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Server-Load", "inflight=1,latency_ms=2")
+	id := r.Header.Get("Request-Id")
+	fmt.Fprintf(w, "%s %s %s %s %s", r.Method, r.RequestURI, id, r.TransferEncoding, body)
+}
+
+func TestServes(t *testing.T) {
+	n := start(t, discovery(t, album(t, echo)))
+	const want = "POST /api?x=1 r1 [] abc"
+	conn, r := n.say(whole + whole) // the second is sent ahead
+	for range 2 {
+		if res, body := n.hear(r); res.StatusCode != 200 || body != want || res.Header.Get("Server-Load") != "" {
+			t.Errorf("got %d %q, %v", res.StatusCode, body, res.Header)
+		}
+	}
+	io.WriteString(conn, edit+"Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n")
+	if res, _ := n.hear(r); res.StatusCode != 100 {
+		t.Errorf("got %d, want leave to go on", res.StatusCode)
+	}
+	io.WriteString(conn, "3\r\nabc\r\n0\r\n\r\n")
+	if res, body := n.hear(r); res.StatusCode != 200 || body != want {
+		t.Errorf("got %d %q", res.StatusCode, body)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	n := start(t, discovery(t, album(t, echo)))
+	long := strings.Repeat("x", 70000)
+	tests := []struct {
+		in     string
+		status int
+		closes bool
+	}{
+		{"nonsense\r\n\r\n", 400, true},
+		{strings.Replace(whole, "Request-Id: r1\r\n", "", 1), 400, true},
+		{strings.Replace(whole, "album-edit", "album-burn", 1), 400, true},
+		{strings.Replace(whole, "album-edit", "photo-upload", 1), 400, true}, // it carries no key
+		{strings.Replace(whole, "20000", "soon", 1), 400, true},
+		{edit + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400, true},
+		{edit + "Content-Length: 70000\r\n\r\n" + long, 413, true},
+		{edit + "A: " + long + "\r\n\r\n", 431, true},
+		{strings.Replace(whole, "/api", "/other", 1), 404, false},
+		{"GET" + strings.TrimPrefix(edit, "POST") + "\r\n", 405, false},
+		{"PUT" + strings.TrimPrefix(edit, "POST") + "\r\n", 405, false},
+	}
+	for _, tc := range tests {
+		_, r := n.say(tc.in)
+		if res, _ := n.hear(r); res.StatusCode != tc.status || res.Close != tc.closes {
+			t.Errorf("%.60q: got %d, closing %t", tc.in, res.StatusCode, res.Close)
+		}
+	}
+}
+
+// TestWhatAlbumServersAnswer covers the outcomes as a caller sees them.
+func TestWhatAlbumServersAnswer(t *testing.T) {
+	tests := map[string]struct {
+		answer http.HandlerFunc
+		status int
+		advice string
+	}{
+		"error": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 502, ""},
+		// A busy answer that doesn't prove it must not be passed on as a refusal.
+		"busy, may have run": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 502, ""},
+		"turned away": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Started", "1")
+			w.WriteHeader(503)
+		}, 503, "1"},
+		"reset":   {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 502, ""},
+		"garbled": {garbled, 502, ""},
+	}
+	for name, tc := range tests {
+		n := start(t, discovery(t, album(t, tc.answer)))
+		_, r := n.say(whole)
+		if res, _ := n.hear(r); res.StatusCode != tc.status || res.Header.Get("Retry-After") != tc.advice {
+			t.Errorf("%s: got %d, advice %q", name, res.StatusCode, res.Header.Get("Retry-After"))
+		}
+	}
+}
+
+func garbled(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab")
+		conn.Close()
+	}
+}
+
+// TestSilentAlbumServer covers the deadline: the answer comes though the next hop's never does.
+func TestSilentAlbumServer(t *testing.T) {
+	held := make(chan struct{})
+	n := start(t, discovery(t, album(t, func(http.ResponseWriter, *http.Request) { <-held })))
+	defer close(held)
+	_, r := n.say(strings.Replace(whole, "20000", "150", 1))
+	if res, _ := n.hear(r); res.StatusCode != 504 {
+		t.Errorf("got %d", res.StatusCode)
+	}
+}
+
+// TestPlannedStop covers SIGTERM: what is taken is answered, the leg closes, the program ends.
+func TestPlannedStop(t *testing.T) {
+	here, on := make(chan struct{}), make(chan struct{})
+	n := start(t, discovery(t, album(t, func(w http.ResponseWriter, r *http.Request) {
+		close(here)
+		<-on
+		echo(w, r)
+	})))
+	_, r := n.say(whole)
+	<-here
+	if err := n.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); { // until it has heard
+		if res, err := http.Get("http://" + n.addr + "/healthz"); err == nil {
+			res.Body.Close()
+			if res.StatusCode == 503 {
+				break
+			}
+		}
+	}
+	close(on)
+	if res, _ := n.hear(r); res.StatusCode != 200 || !res.Close {
+		t.Errorf("got %d, closing %t", res.StatusCode, res.Close)
+	}
+	if err := n.cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	tests := []struct {
+		args []string
+		ok   bool
+		want string
+	}{
+		{[]string{"version"}, true, "lilacglade " + version},
+		{[]string{"--help"}, true, "serve"},
+		{[]string{"check", "-c", "../../examples/config.json"}, true, "can be served"},
+		{[]string{"check", "-c", "nowhere.json"}, false, "NODE_CONFIG"},
+		{[]string{"dance"}, false, "dance"},
+		{[]string{"check", "again"}, false, "again"},
+	}
+	for _, tc := range tests {
+		out, err := exec.Command(binary, tc.args...).CombinedOutput()
+		lines := strings.Count(string(out), "\n")
+		if (err == nil) != tc.ok || !strings.Contains(string(out), tc.want) || !tc.ok && lines != 1 {
+			t.Errorf("%v: %v, %s", tc.args, err, out)
+		}
+	}
+}
--- /dev/null
+++ b/internal/http1/parser_test.go
@@ -0,0 +1,157 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// all feeds a stream in pieces of the given size and writes down what comes out.
+func all(stream []byte, size int, responses bool) string {
+	var out strings.Builder
+	p := Parser{Responses: responses}
+	for len(stream) > 0 {
+		n := min(size, len(stream))
+		p.Feed(append([]byte(nil), stream[:n]...))
+		stream = stream[n:]
+		for {
+			m, err := p.Next()
+			if err != nil {
+				fmt.Fprintf(&out, "error %v", err)
+				return out.String()
+			}
+			if m == nil {
+				break
+			}
+			describe(&out, m)
+		}
+	}
+	if m := p.End(); m != nil {
+		describe(&out, m)
+	}
+	return out.String()
+}
+
+func describe(out *strings.Builder, m *Message) {
+	fmt.Fprintf(out, "%s %s %d %t %q", m.Method, m.Target, m.Status, m.Close, m.Body)
+	for _, f := range m.Fields {
+		fmt.Fprintf(out, " %q=%q", f.Name, f.Value)
+	}
+	out.WriteString("\n")
+}
+
+const (
+	host = "HTTP/1.1\r\nHost: h\r\n"
+	one  = "Content-Length: 3\r\n"
+)
+
+func TestRequests(t *testing.T) {
+	chunks := "POST /api " + host + "Transfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("x", MaxHead)
+	tests := map[string]struct{ in, body, err string }{
+		"no body":            {"GET /api " + host + "\r\n", "", ""},
+		"counted":            {"POST /api " + host + "Content-Length: 3\r\n\r\nabc", "abc", ""},
+		"chunked":            {chunks + "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n", "abcde", ""},
+		"empty line first":   {"\r\nGET /api " + host + "\r\n", "", ""},
+		"repeated length":    {"POST / " + host + one + one + "\r\nabc", "", "malformed"},
+		"signed length":      {"POST / " + host + "Content-Length: +3\r\n\r\nabc", "", "malformed"},
+		"both framings":      {chunks[:len(chunks)-2] + "Content-Length: 3\r\n\r\nabc", "", "malformed"},
+		"unknown coding":     {"POST / " + host + "Transfer-Encoding: gzip\r\n\r\n", "", "malformed"},
+		"no host":            {"GET / HTTP/1.1\r\n\r\n", "", "malformed"},
+		"space before colon": {"GET / " + host + "A : b\r\n\r\n", "", "malformed"},
+		"folded line":        {"GET / " + host + "A: b\r\n c: d\r\n\r\n", "", "malformed"},
+		"bare line feed":     {"GET / " + host + "A: b\nc: d\r\n\r\n", "", "malformed"},
+		"other version":      {"GET / HTTP/2.0\r\nHost: h\r\n\r\n", "", "malformed"},
+		"chunk size":         {chunks + "-1\r\n", "", "malformed"},
+		"chunk too long":     {chunks + "3\r\nabcd\r\n", "", "malformed"},
+		"head too large":     {"GET / " + host + "A: " + long, "", "head too large"},
+		"body too large":     {"POST / " + host + "Content-Length: 65537\r\n\r\n", "", "body too large"},
+		"chunks too large":   {chunks + "10001\r\n", "", "body too large"},
+	}
+	for name, tc := range tests {
+		for _, size := range []int{1, 7, 1 << 20} {
+			got := all([]byte(tc.in), size, false)
+			if tc.err != "" && !strings.Contains(got, "error "+tc.err) {
+				t.Errorf("%s in pieces of %d: got %s, want %s", name, size, got, tc.err)
+			}
+			if tc.err == "" && !strings.Contains(got, fmt.Sprintf("%q \"Host\"", tc.body)) {
+				t.Errorf("%s in pieces of %d: got %s, want body %q", name, size, got, tc.body)
+			}
+		}
+	}
+}
+
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	if got := all([]byte("HTTP/1.1 200 OK\r\n\r\nabc"), 4, true); !strings.Contains(got, `200 true "abc"`) {
+		t.Errorf("got %s", got)
+	}
+}
+
+// TestTakenMessageStays guards against a message that changes while it is still being written
+// elsewhere, because the next one came in on the same connection.
+func TestTakenMessageStays(t *testing.T) {
+	var p Parser
+	p.Feed([]byte("POST /api " + host + "Content-Length: 3\r\n\r\nabcGET /x"))
+	m, err := p.Next()
+	if err != nil || m == nil {
+		t.Fatal(m, err)
+	}
+	p.Feed([]byte(strings.Repeat("z", 200)))
+	if _, err := p.Next(); err != nil || string(m.Body) != "abc" || string(m.Target) != "/api" {
+		t.Errorf("got %s %s, %v", m.Target, m.Body, err)
+	}
+}
+
+func TestContinueIsAskedOnce(t *testing.T) {
+	var p Parser
+	p.Feed([]byte("POST /api " + host + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n"))
+	if _, err := p.Next(); err != nil || !p.WantsContinue() || p.WantsContinue() {
+		t.Errorf("want leave to be asked for once, error %v", err)
+	}
+}
+
+func TestForwardDropsWhatConcernsOneConnection(t *testing.T) {
+	var p Parser
+	p.Feed([]byte("POST /api?a=b " + host + "Connection: close, X-Own\r\nX-Own: 1\r\nKeep: me\r\n" +
+		"Wait: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	m, err := p.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := "POST /api?a=b HTTP/1.1\r\nHost: h\r\nKeep: me\r\nWait: 2\r\nContent-Length: 1\r\n\r\na"
+	if got := string(bytes.Join(m.Forward("Wait", "2"), nil)); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// FuzzParser checks that the pieces in which a stream comes change nothing, and that what is
+// forwarded reads back as it was.
+func FuzzParser(f *testing.F) {
+	chunked := "POST /api " + host + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	f.Add([]byte(chunked+"GET / "+host+"\r\n"), 5, false)
+	f.Add([]byte("HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 1\r\n\r\na"), 2, true)
+	f.Add([]byte("HTTP/1.1 200 OK\r\n\r\ntill the end"), 3, true)
+	f.Add([]byte("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"), 9, false)
+	f.Fuzz(func(t *testing.T, stream []byte, size int, responses bool) {
+		whole := all(stream, len(stream)+1, responses)
+		if pieces := all(stream, max(1, size), responses); pieces != whole {
+			t.Fatalf("whole: %s\nin pieces: %s", whole, pieces)
+		}
+		p := Parser{}
+		p.Feed(append([]byte(nil), stream...))
+		if m, err := p.Next(); err == nil && m != nil {
+			var q Parser
+			q.Feed(bytes.Join(m.Forward("X", "1"), nil))
+			again, err := q.Next()
+			// A request of HTTP/1.0 may come without the Host that 1.1 wants.
+			if err != nil && m.Get("Host") != nil || err == nil && !bytes.Equal(again.Body, m.Body) {
+				t.Fatalf("%q reads back as %v, %v", stream, again, err)
+			}
+			if err != nil && !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrHeadSize) {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -130,9 +130,9 @@
 	}
 }
 
-// timedOut ends a branch whose time is over. One that waits for a leg was never sent. At the
-// request's own deadline no further branch can follow, so the leg may run out: closing it
-// would cost the next hop a new one. Before that it is closed, which ends the attempt.
+// timedOut ends a branch whose time is over. One that waits for a leg was never sent. A leg
+// that still owes its answer is closed: that ends the attempt where the next hop drops what
+// waits for nobody, and keeps legs from piling up at one that has stopped answering.
 func (s *State) timedOut(b *branch) {
 	l := b.leg
 	if l == nil {
@@ -140,16 +140,7 @@
 		return
 	}
 	s.end(b, lg.TimedOut, lg.LoadReport{})
-	if s.now < b.req.deadline || l.phase == hopWriting {
-		s.drop(l)
-		return
-	}
-	since := l.since
-	s.clock.add(s.now+s.runOut, func() {
-		if s.legs[l.id] == l && l.phase == hopWaiting && l.since == since {
-			s.drop(l)
-		}
-	})
+	s.drop(l)
 }
 
 func (s *State) dialed(ev HopDialed) {
--- /dev/null
+++ b/internal/proxystate/model_test.go
@@ -0,0 +1,382 @@
+package proxystate
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	lg "lilacglade"
+)
+
+const ms = time.Millisecond
+
+func testConfig() Config {
+	return Config{MaxCallers: 12, MaxHops: 8, IdleHops: time.Second, Settings: lg.Settings{
+		Balancers: 1, Zones: 1, MaxAttempts: 4, AskForList: true, AskEvery: 5 * time.Second,
+		ConnectTimeout: 200 * ms, MaxRetryAfter: time.Second, WarmWithin: time.Second, ColdShare: 0.5,
+		TipWindow: time.Second, Report: []lg.LoadField{lg.LoadInFlight},
+		Classes: []lg.Class{
+			{Name: "edit", Aim: 400 * ms, Deadline: 800 * ms, Worth: 5, Effect: lg.Unsafe},
+			{Name: "upload", Aim: 400 * ms, Deadline: 2 * time.Second, Worth: 15, Effect: lg.Keyed,
+				Group: lg.GroupZone, Memory: 1200 * ms}}}}
+}
+
+// call is a request as the model sees it.
+type call struct {
+	leg      LegID
+	class    int
+	deadline time.Duration
+	out      bool // a branch of it is on a hop leg
+	mayRun   bool
+	answers  int
+	left     bool
+}
+
+type hopModel struct {
+	server  lg.ServerID
+	open    bool
+	busy    *call // the exchange that is on it, nil when idle
+	written bool
+}
+
+// model plays both sides of a State and holds what must be true of the connections.
+type model struct {
+	t       *testing.T
+	s       *State
+	now     time.Duration
+	armed   time.Duration
+	callers map[LegID]*call // nil: idle
+	writing map[LegID]bool  // answers being written, and whether they are the last
+	hops    map[LegID]*hopModel
+	state   map[lg.ServerID]lg.State
+	calls   []*call
+	next    LegID
+	done    bool
+}
+
+func newModel(t *testing.T) *model {
+	s, err := New(testConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &model{t: t, s: s, now: time.Hour, callers: map[LegID]*call{}, writing: map[LegID]bool{},
+		hops: map[LegID]*hopModel{}, state: map[lg.ServerID]lg.State{}}
+	m.routes(lg.CachedList, lg.Ready, 1, 2, 3)
+	return m
+}
+
+func (m *model) routes(kind lg.ListKind, state lg.State, ids ...lg.ServerID) {
+	list := lg.List{Kind: kind}
+	for _, id := range ids {
+		m.state[id] = state
+		list.Servers = append(list.Servers, lg.Server{ID: id, State: state, Weight: 1})
+	}
+	m.step(RoutesTold{list})
+}
+
+func (m *model) step(ev Event) {
+	m.t.Helper()
+	for _, e := range slices.Clone(m.s.Step(m.now, ev)) {
+		m.see(e)
+	}
+}
+
+// see checks one effect against the rules and takes it into the model.
+func (m *model) see(e Effect) {
+	m.t.Helper()
+	switch e.Do {
+	case AnswerCaller:
+		c, known := m.callers[e.Leg]
+		if _, twice := m.writing[e.Leg]; !known || twice {
+			m.t.Fatalf("an answer on leg %d, which is gone or being written to", e.Leg)
+		}
+		m.writing[e.Leg] = e.Last
+		if c == nil {
+			return
+		}
+		if c.answers++; c.answers > 1 {
+			m.t.Fatal("two answers to one request")
+		}
+		if e.Verdict == Busy && (c.mayRun || c.out) {
+			m.t.Fatal("refused, though it may have run")
+		}
+	case CloseCaller:
+		if c, ok := m.callers[e.Leg]; !ok {
+			m.t.Fatalf("caller leg %d closed twice", e.Leg)
+		} else if c != nil && c.answers == 0 {
+			m.t.Fatal("a leg closed with its request unanswered")
+		}
+		m.forget(e.Leg)
+	case Dial:
+		if m.hops[e.Leg] = (&hopModel{server: e.Server}); len(m.hops) > m.s.cfg.MaxHops {
+			m.t.Fatalf("%d hop legs", len(m.hops))
+		}
+		if m.state[e.Server] != lg.Ready {
+			m.t.Fatal("dialed a next hop that takes nothing new")
+		}
+	case Forward:
+		h, c := m.hops[e.Leg], e.Payload.(*call)
+		switch {
+		case h == nil || !h.open || h.busy != nil:
+			m.t.Fatalf("forwarded on leg %d, which is closed or busy", e.Leg)
+		case c.out || c.answers > 0:
+			m.t.Fatal("a second branch, or one after the answer")
+		case c.mayRun && c.class == 0:
+			m.t.Fatal("an unsafe request sent again after it may have run")
+		case m.state[h.server] != lg.Ready:
+			m.t.Fatal("forwarded to a next hop that takes nothing new")
+		}
+		h.busy, h.written, c.out = c, false, true
+	case CloseHop:
+		h := m.hops[e.Leg]
+		if h == nil {
+			m.t.Fatalf("hop leg %d closed twice", e.Leg)
+		}
+		if h.busy != nil {
+			h.busy.out, h.busy.mayRun = false, true
+		}
+		delete(m.hops, e.Leg)
+	case Arm:
+		m.armed = e.At
+	case Finish:
+		m.done = true
+	}
+}
+
+func (m *model) forget(leg LegID) {
+	if c := m.callers[leg]; c != nil {
+		c.left = true
+	}
+	delete(m.callers, leg)
+	delete(m.writing, leg)
+}
+
+// pass lets time go by, waking the State whenever it asked for it.
+func (m *model) pass(by time.Duration) {
+	m.t.Helper()
+	for end := m.now + by; m.now < end; {
+		m.now = min(end, max(m.now, m.armed))
+		m.step(Woken{})
+	}
+	for _, c := range m.calls {
+		if m.now >= c.deadline && c.answers == 0 && !c.left {
+			m.t.Fatal("no answer before the caller gave up")
+		}
+	}
+}
+
+func (m *model) ask(leg LegID, class int) {
+	c := &call{leg: leg, class: class, deadline: m.now + m.s.cfg.Settings.Classes[class].Deadline}
+	m.callers[leg], m.calls = c, append(m.calls, c)
+	m.step(CallerAsked{Leg: leg, Class: class, Key: uint64(leg % 5), HasKey: true, Deadline: c.deadline,
+		Payload: c})
+}
+
+// end is an exchange's end on a hop leg, as the sockets would tell it.
+func (m *model) end(id LegID, res lg.Result, keep bool) {
+	h := m.hops[id]
+	if c := h.busy; c != nil {
+		c.out = false
+		c.mayRun = c.mayRun || !res.NeverRan()
+	}
+	h.busy = nil
+	m.step(HopAnswered{Leg: id, Result: res, Keep: keep, Load: lg.LoadReport{N: 1, Values: [4]float64{3}}})
+}
+
+func pick[V any](rng *rand.Rand, from map[LegID]V, fits func(V) bool) LegID {
+	var ids []LegID
+	for id, v := range from {
+		if fits(v) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return 0
+	}
+	slices.Sort(ids)
+	return ids[rng.IntN(len(ids))]
+}
+
+// random takes one step that sockets, callers or discovery could take now.
+func (m *model) random(rng *rand.Rand) {
+	switch rng.IntN(13) {
+	case 0, 1, 2, 3:
+		leg := pick(rng, m.callers, func(c *call) bool { return c == nil })
+		if _, busy := m.writing[leg]; leg == 0 || busy || rng.IntN(3) == 0 {
+			m.next++
+			leg = m.next
+			m.callers[leg] = nil
+			m.step(CallerOpened{leg})
+		}
+		if _, there := m.callers[leg]; there {
+			m.ask(leg, rng.IntN(2))
+		}
+	case 4:
+		if leg := pick(rng, m.writing, func(bool) bool { return true }); leg != 0 {
+			ok, last := rng.IntN(8) > 0, m.writing[leg]
+			delete(m.writing, leg)
+			if ok && !last {
+				m.callers[leg] = nil
+			}
+			m.step(CallerWritten{leg, ok})
+		}
+	case 5:
+		if leg := pick(rng, m.callers, func(*call) bool { return true }); leg != 0 && rng.IntN(3) == 0 {
+			m.forget(leg)
+			m.step(CallerClosed{leg})
+		}
+	case 6, 7:
+		if id := pick(rng, m.hops, func(h *hopModel) bool { return !h.open }); id != 0 {
+			ok := rng.IntN(4) > 0
+			if m.hops[id].open = ok; !ok {
+				delete(m.hops, id)
+			}
+			m.step(HopDialed{id, ok})
+		}
+	case 8:
+		if id := pick(rng, m.hops, func(h *hopModel) bool { return h.busy != nil && !h.written }); id != 0 {
+			h := m.hops[id]
+			if h.written = rng.IntN(6) > 0; !h.written { // broken before the last byte: it never ran
+				h.busy.out, h.busy = false, nil
+				m.step(HopClosed{id})
+			}
+			m.step(HopWritten{id, h.written})
+		}
+	case 9, 10:
+		if id := pick(rng, m.hops, func(h *hopModel) bool { return h.written && h.busy != nil }); id != 0 {
+			m.end(id, []lg.Result{lg.OK, lg.OK, lg.Full, lg.ServerError}[rng.IntN(4)], rng.IntN(4) > 0)
+		}
+	case 11:
+		quiet := func(h *hopModel) bool { return h.open && (h.busy == nil || h.written) }
+		if id := pick(rng, m.hops, quiet); id != 0 {
+			if c := m.hops[id].busy; c != nil {
+				c.out, c.mayRun = false, true
+			}
+			delete(m.hops, id)
+			m.step(HopClosed{id})
+		}
+	case 12:
+		if rng.IntN(4) == 0 {
+			m.routes(lg.Changes, []lg.State{lg.Ready, lg.Ready, lg.Draining, lg.Gone}[rng.IntN(4)],
+				lg.ServerID(1+rng.IntN(3)))
+		}
+	}
+	m.pass(time.Duration(rng.IntN(60)) * ms)
+}
+
+// FuzzSteps checks random steps of callers, next hops and discovery against the model, then
+// stops the proxy: it must end with all answered.
+func FuzzSteps(f *testing.F) {
+	for seed := range uint64(30) {
+		f.Add(seed, 400)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, steps int) {
+		m, rng := newModel(t), rand.New(rand.NewPCG(seed, 1))
+		for range min(steps, 2000) {
+			m.random(rng)
+		}
+		m.step(Stopping{})
+		m.pass(5 * time.Second)
+		for leg := range m.writing {
+			m.step(CallerWritten{leg, true})
+		}
+		if !m.done || len(m.s.requests) != 0 {
+			t.Fatalf("finished %t with %d requests left", m.done, len(m.s.requests))
+		}
+	})
+}
+
+// started returns a model with one request whose branch is on hop leg 1.
+func started(t *testing.T) (*model, *call) {
+	m := newModel(t)
+	m.callers[1] = nil
+	m.step(CallerOpened{1})
+	m.ask(1, 0)
+	m.hops[1].open = true
+	m.step(HopDialed{1, true})
+	return m, m.calls[0]
+}
+
+// verdict returns how the model's only caller was answered by one event.
+func (m *model) verdict(ev Event) Verdict {
+	m.t.Helper()
+	for _, e := range m.s.Step(m.now, ev) {
+		if e.Do == AnswerCaller {
+			return e.Verdict
+		}
+	}
+	m.t.Fatalf("%+v: no answer", ev)
+	return 0
+}
+
+// TestBreakBeforeTheLastByte guards against calling an exchange done that never was, and the
+// other way round: how far the writing came decides, in whichever order the two are told.
+func TestBreakBeforeTheLastByte(t *testing.T) {
+	m, c := started(t)
+	m.step(HopClosed{1})
+	m.hops[1].busy, c.out = nil, false
+	m.step(HopWritten{1, false})
+	if c.answers != 0 || len(m.hops) != 1 {
+		t.Fatal("not sent again, though it never ran")
+	}
+	m, _ = started(t)
+	m.step(HopClosed{1})
+	if v := m.verdict(HopWritten{1, true}); v != Broken {
+		t.Errorf("verdict %d for a request that may have run", v)
+	}
+}
+
+// TestDrainHeardWhileDialing guards against a first byte to a next hop that has begun to drain.
+func TestDrainHeardWhileDialing(t *testing.T) {
+	m := newModel(t)
+	m.callers[1] = nil
+	m.step(CallerOpened{1})
+	m.ask(1, 0)
+	m.routes(lg.Changes, lg.Draining, m.hops[1].server)
+	m.hops[1].open = true
+	if v := m.verdict(HopDialed{1, true}); v != Busy {
+		t.Errorf("verdict %d", v)
+	}
+}
+
+// TestDeadlineHoldsWithoutTheModule covers a request that stays on a silent next hop.
+func TestDeadlineHoldsWithoutTheModule(t *testing.T) {
+	m, c := started(t)
+	m.step(HopWritten{1, true})
+	m.pass(c.deadline - m.now - margin - 1)
+	if c.answers != 0 {
+		t.Fatal("answered early")
+	}
+	m.now += 1
+	if v := m.verdict(Woken{}); v != Late {
+		t.Errorf("verdict %d", v)
+	}
+}
+
+// TestFullHouseIsRefused guards against a leg beyond the cap losing what it asks.
+func TestFullHouseIsRefused(t *testing.T) {
+	m := newModel(t)
+	for leg := LegID(1); int(leg) <= m.s.cfg.MaxCallers; leg++ {
+		m.callers[leg] = nil
+		m.step(CallerOpened{leg})
+		m.ask(leg, 0)
+	}
+	m.callers[99] = nil
+	m.step(CallerOpened{99})
+	if v := m.verdict(CallerAsked{Leg: 99, Deadline: m.now + time.Second}); v != Busy {
+		t.Errorf("verdict %d", v)
+	}
+}
+
+// TestSlowRequestIsEnded covers a request that never comes whole.
+func TestSlowRequestIsEnded(t *testing.T) {
+	m := newModel(t)
+	m.callers[1] = nil
+	m.step(CallerOpened{1})
+	m.step(CallerReading{1})
+	m.pass(readWithin + sweepEvery)
+	if last, told := m.writing[1]; !told || !last {
+		t.Error("not ended")
+	}
+}
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -41,7 +41,6 @@
 	legs     map[LegID]*hopLeg
 	lastLeg  LegID
 	lastID   lg.RequestID
-	runOut   time.Duration // how long a leg may wait for an answer that nobody wants any more
 	watched  time.Duration // when the last watch began
 	stopping bool
 	drained  bool // no more callers are expected
@@ -128,9 +127,6 @@
 	}
 	s := &State{cfg: cfg, bal: bal, callers: map[LegID]*caller{}, requests: map[lg.RequestID]*request{},
 		hops: map[lg.ServerID]*hop{}, legs: map[LegID]*hopLeg{}}
-	for _, c := range cfg.Settings.Classes {
-		s.runOut = max(s.runOut, c.Deadline)
-	}
 	s.clock.add(0, s.sweep)
 	return s, nil
 }
--- /dev/null
+++ b/internal/routeset/routeset_test.go
@@ -0,0 +1,72 @@
+package routeset
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	lg "lilacglade"
+)
+
+func doc(version, full, entries string) []byte {
+	return []byte(`{"generation":` + version + `,"reset":` + full + `,"instances":[` + entries + `]}`)
+}
+
+func entry(id, addr, state, weight, started string) string {
+	return `{"instanceId":"` + id + `","hostPort":"` + addr + `","zone":"b","machineType":"m2","cell":3,` +
+		`"lifecycle":"` + state + `","weight":` + weight + `,"startedAtMs":` + started + `}`
+}
+
+var good = entry("s-1", "127.0.0.1:81", "ready", "1.5", "1700000060000")
+
+func newSet(t *testing.T) *Set {
+	s := New([]string{"a", "b"}, []string{"m1", "m2"}, time.UnixMilli(1700000000000))
+	if _, err := s.Apply(doc("41", "true", good)); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestListsAndChanges(t *testing.T) {
+	s := newSet(t)
+	list, err := s.Apply(doc("42", "false", entry("s-1", "127.0.0.1:82", "draining", "1.5", "1700000060000")))
+	want := lg.Server{ID: ID("s-1"), Zone: 1, Kind: 1, Cell: 3, State: lg.Draining, Weight: 1.5,
+		Started: time.Minute}
+	if err != nil || list.Kind != lg.Changes || len(list.Servers) != 1 || list.Servers[0] != want {
+		t.Errorf("got %+v, %v; want %+v", list, err, want)
+	}
+	if s.Address(ID("s-1")) != "127.0.0.1:82" {
+		t.Error("the address did not follow")
+	}
+	if q := s.Query(time.Hour, time.Hour+20*time.Second); q != "/v1/servers?since=42&timeout_ms=20000" {
+		t.Errorf("query %s", q)
+	}
+	_, err = s.Apply(doc("43", "false", entry("s-1", "", "gone", "1", "0")))
+	if err != nil || s.Address(ID("s-1")) != "" {
+		t.Errorf("gone: %v, %q", err, s.Address(ID("s-1")))
+	}
+}
+
+// TestNonsenseKeepsTheLastGoodSet covers what discovery may send that makes no sense.
+func TestNonsenseKeepsTheLastGoodSet(t *testing.T) {
+	tests := map[string][]byte{
+		"unexpected end":    []byte(`{"generation":42`),
+		"no generation":     []byte(`{"instances":[]}`),
+		"is known":          doc("40", "false", ""),
+		"without instances": doc("42", "true", ""),
+		"unknown lifecycle": doc("42", "true", entry("s-2", "127.0.0.1:81", "tired", "1", "0")),
+		"hostPort":          doc("42", "true", entry("s-2", "elsewhere", "ready", "1", "0")),
+		"weight":            doc("42", "true", entry("s-2", "127.0.0.1:81", "ready", "-1", "0")),
+		"startedAtMs":       doc("42", "true", entry("s-2", "127.0.0.1:81", "ready", "1", "1e300")),
+		"empty or repeated": doc("42", "true", good+","+good),
+	}
+	for want, raw := range tests {
+		s := newSet(t)
+		if _, err := s.Apply(raw); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v", want, err)
+		}
+		if s.Address(ID("s-1")) != "127.0.0.1:81" || s.Query(0, 0) != "/v1/servers" {
+			t.Errorf("%s: the set changed, or the whole list is not wanted next", want)
+		}
+	}
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -7,6 +7,8 @@
 	"net"
 	"os"
 	"strconv"
+
+	lg "lilacglade"
 )
 
 // Node is the configuration of one proxy.
@@ -98,7 +100,16 @@
 	case in.Settings == nil:
 		return n, errors.New("settings: not set")
 	}
-	n.Settings, err = Decode(in.Settings)
+	if n.Settings, err = Decode(in.Settings); err != nil {
+		return n, err
+	}
+	if n.Settings.ConnectTimeout <= 0 {
+		return n, errors.New("settings: bounds.connect-timeout: want more than 0")
+	}
+	if n.Settings.KeepAlive <= 0 {
+		return n, errors.New("settings: bounds.keepalive: want more than 0")
+	}
+	_, err = lg.New(n.Settings.Settings, n.Seed) // which names what no deployment can mean
 	return n, err
 }
 
