Test what the first tests let through, and want a Host with every request

Ten faults were put into the reducer, the parser and the legs, one at a time. Five went unnoticed: closing without the lock in leg.attach, a second branch beside one that is out, a refusal of what may have run, a failed dial whose leg stays remembered, an answer that keeps its leg open after SIGTERM.

An HTTP/1.0 request without Host was taken and then forwarded as HTTP/1.1 without one, which a next hop may refuse as malformed (parser.go, framing): 400 now.

--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -267,7 +267,7 @@
 			}
 		}
 	}
-	if lengths > 0 && codings > 0 || !p.Responses && (hosts > 1 || minor == 1 && hosts == 0) {
+	if lengths > 0 && codings > 0 || !p.Responses && hosts != 1 {
 		return ErrMalformed
 	}
 	if p.Responses && (m.Status < 200 || m.Status == 204 || m.Status == 304) {
--- a/internal/http1/parser_test.go
+++ b/internal/http1/parser_test.go
@@ -145,13 +145,10 @@
 			var q Parser
 			q.Feed(bytes.Join(m.Forward("X", "1"), nil))
 			again, err := q.Next()
-			// A request of HTTP/1.0 may come without the Host that 1.1 wants.
-			if err != nil && m.Get("Host") != nil || err == nil && !bytes.Equal(again.Body, m.Body) {
+			// The new fields may push a head that is nearly full over the limit.
+			if err == nil && !bytes.Equal(again.Body, m.Body) || err != nil && !errors.Is(err, ErrHeadSize) {
 				t.Fatalf("%q reads back as %v, %v", stream, again, err)
 			}
-			if err != nil && !errors.Is(err, ErrMalformed) && !errors.Is(err, ErrHeadSize) {
-				t.Fatal(err)
-			}
 		}
 	})
 }
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -38,6 +38,9 @@
 // watchFor is how long a watch may wait where the settings don't say how often to ask.
 const watchFor = 10 * time.Second
 
+// continueWithin is how long a caller may take to read the leave to send its body.
+const continueWithin = 10 * time.Second
+
 // heldWhileBusy bounds what a caller may send ahead while its request is being worked on.
 const heldWhileBusy = http1.MaxHead + http1.MaxBody
 
@@ -208,7 +211,7 @@
 	case g.parser.Partial():
 		p.step(proxystate.CallerReading{Leg: g.id})
 		if g.parser.WantsContinue() {
-			g.write(job{bufs: http1.Continue(), by: time.Now().Add(p.set.AskEvery)})
+			g.write(job{bufs: http1.Continue(), by: time.Now().Add(continueWithin)})
 		}
 	}
 }
--- a/internal/legs/watcher.go
+++ b/internal/legs/watcher.go
@@ -12,9 +12,6 @@
 // answerWithin is how long discovery may take beyond what it was allowed to wait.
 const answerWithin = 3 * time.Second
 
-// maxDocument bounds a route set's document.
-const maxDocument = http1.MaxBody
-
 // call is one call to discovery.
 type call struct {
 	target string
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -1,10 +1,6 @@
 package proxystate
 
-import (
-	"time"
-
-	lg "lilacglade"
-)
+import lg "lilacglade"
 
 func (s *State) phase(c *caller, p callerPhase) { c.phase, c.since = p, s.now }
 
@@ -140,11 +136,3 @@
 		s.tell(lg.Departed{Request: r.id})
 	}
 }
-
-// limit is when an attempt that may take so long ends: never after its request.
-func (r *request) limit(now, may time.Duration) time.Duration {
-	if may <= 0 {
-		return r.deadline
-	}
-	return min(r.deadline, now+may)
-}
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	lg "lilacglade"
 )
@@ -28,6 +29,14 @@
 	s.assign(b)
 }
 
+// limit is when an attempt that may take so long ends: never after its request.
+func (r *request) limit(now, may time.Duration) time.Duration {
+	if may <= 0 {
+		return r.deadline
+	}
+	return min(r.deadline, now+may)
+}
+
 // assign gives a branch the newest idle leg of its next hop, or lets it wait for one.
 func (s *State) assign(b *branch) {
 	h := b.hop
--- a/internal/proxystate/model_test.go
+++ b/internal/proxystate/model_test.go
@@ -52,6 +52,7 @@
 	state   map[lg.ServerID]lg.State
 	calls   []*call
 	next    LegID
+	stopped bool
 	done    bool
 }
 
@@ -91,6 +92,9 @@
 		if _, twice := m.writing[e.Leg]; !known || twice {
 			m.t.Fatalf("an answer on leg %d, which is gone or being written to", e.Leg)
 		}
+		if m.stopped && !e.Last {
+			m.t.Fatal("a leg kept open by an answer after the stop began")
+		}
 		m.writing[e.Leg] = e.Last
 		if c == nil {
 			return
@@ -159,6 +163,10 @@
 		m.now = min(end, max(m.now, m.armed))
 		m.step(Woken{})
 	}
+	if len(m.s.legs) != len(m.hops) || len(m.s.callers) != len(m.callers) {
+		m.t.Fatalf("%d hop legs remembered of %d, %d caller legs of %d", len(m.s.legs), len(m.hops),
+			len(m.s.callers), len(m.callers))
+	}
 	for _, c := range m.calls {
 		if m.now >= c.deadline && c.answers == 0 && !c.left {
 			m.t.Fatal("no answer before the caller gave up")
@@ -276,7 +284,11 @@
 		for range min(steps, 2000) {
 			m.random(rng)
 		}
+		m.stopped = true
 		m.step(Stopping{})
+		for range 20 {
+			m.random(rng)
+		}
 		m.pass(5 * time.Second)
 		for leg := range m.writing {
 			m.step(CallerWritten{leg, true})
@@ -354,6 +366,21 @@
 	}
 }
 
+// TestTheModuleIsNotTakenAtItsWord guards against a second branch beside one that is out, and
+// against a refusal of what may have run, whoever asks for it.
+func TestTheModuleIsNotTakenAtItsWord(t *testing.T) {
+	m, _ := started(t)
+	m.s.effects = m.s.effects[:0]
+	m.s.act(lg.Action{Do: lg.Send, Request: 1, Server: 2})
+	if len(m.s.effects) != 0 {
+		t.Errorf("sent twice: %+v", m.s.effects)
+	}
+	m.s.act(lg.Action{Do: lg.Refuse, Request: 1})
+	if len(m.s.effects) != 1 || m.s.effects[0].Verdict != Broken {
+		t.Errorf("got %+v", m.s.effects)
+	}
+}
+
 // TestFullHouseIsRefused guards against a leg beyond the cap losing what it asks.
 func TestFullHouseIsRefused(t *testing.T) {
 	m := newModel(t)
