Bound what a server may hold, and end guesses of load that fed on each other

At fault: balancer.go judge() doubled s.load at each time-out and set reported, with nothing to correct it, and tally() makes the mean of it. Several servers also stayed set aside for good, since trial() wanted a safe class and this deployment has none. Ruled out: memory, descriptors, lateness of the proxy (0.4 ms at the 99th percentile), and a lack of capacity (four of twelve servers age; the rest carried the load until a queue at them had grown for two seconds, which makes them slow for good).

Now time-outs double only what was reported, and no further than explains them; a server gets no more than four requests for each unit of its size, by own attempts times the proxies; without any report own attempts stand for all; keyed requests try servers set aside when their group has another.

--- a/balancer.go
+++ b/balancer.go
@@ -20,6 +20,7 @@
 	loadSpan    = 4.0                    // at this multiple of the fleet's mean load, capacity is zero
 	boundOver   = 1.6                    // a server qualifies up to this multiple of the mean wait,
 	boundAim    = 0.3                    // or while it answers within this part of the aim
+	crowd       = 4.0                    // requests for its size that a server may hold
 	hotSpread   = 0.7                    // fair shares of traffic that one key may bring to a server
 	hotMemory   = 0.99                   // of a key's count that is left after a tick
 	zoneWorth   = 0.01                   // price of crossing per other zone from which the own goes first
@@ -141,8 +142,12 @@
 }
 
 // inFlight estimates what s holds: its last report, fading into the fleet's mean as it
-// ages, and what was sent since. Servers that report nothing are judged by own attempts.
+// ages, and what was sent since. Where nothing is ever reported, own attempts stand for those
+// of all proxies.
 func (b *Balancer) inFlight(s *server) float64 {
+	if b.reported == 0 {
+		return float64(b.set.Balancers) * s.pending
+	}
 	if !s.reported {
 		return b.meanLoad*s.base + s.pending
 	}
@@ -158,6 +163,11 @@
 	return (1 - loadPart + loadPart*held/s.Weight/b.usual) / (s.speed * b.cold(s))
 }
 
+// holds is the in-flight count at which slowness expects that latency of s.
+func (b *Balancer) holds(s *server, slow float64) float64 {
+	return s.Weight * b.usual * (slow*s.speed*b.cold(s) - (1 - loadPart)) / loadPart
+}
+
 // capacity is what the sieve gives s: its base, lowered by the reported in-flight count.
 func (b *Balancer) capacity(s *server) float64 {
 	if s.State != Ready || s.aside && !b.noneUp {
@@ -248,6 +258,11 @@
 		(s.Zone != r.ran.Zone || r.class.Group == GroupCell && s.Cell != r.ran.Cell) {
 		return false
 	}
+	// Guards against a crowd: what waits behind so many is late, and slows the others down. Own
+	// attempts count, as this proxy's part: they end by themselves, where a report may stay old.
+	if float64(s.out*b.set.Balancers) >= crowd*s.Weight {
+		return false
+	}
 	// A cold server takes no more than this proxy's part of what cannot tip it over.
 	return b.cold(s) == 1 || s.purse > 0
 }
@@ -291,12 +306,12 @@
 
 // trial returns a server set aside whose next trial is due, for a request that can be sent again.
 func (b *Balancer) trial(r *request) *server {
-	if len(r.tried) > 0 || r.class.Effect != Safe || r.over {
+	if len(r.tried) > 0 || r.class.Effect == Unsafe || r.over {
 		return nil
 	}
 	for _, s := range b.order {
 		if s.aside && !b.noneUp && s.State == Ready && s.out == 0 && b.now >= s.trialAt &&
-			(b.cold(s) == 1 || s.purse > 0) {
+			(b.cold(s) == 1 || s.purse > 0) && b.covered(r, s) {
 			s.trialAt = b.now + s.wait
 			return s
 		}
@@ -304,6 +319,14 @@
 	return nil
 }
 
+// covered tells whether r can be sent again once an attempt at s has failed.
+func (b *Balancer) covered(r *request, s *server) bool {
+	return slices.ContainsFunc(b.order, func(o *server) bool {
+		return o != s && !o.aside && o.State == Ready && (r.class.Effect == Safe || r.class.Group == GroupAll ||
+			o.Zone == s.Zone && (r.class.Group == GroupZone || o.Cell == s.Cell))
+	})
+}
+
 // Requests.
 
 func (b *Balancer) arrive(ev Request) {
@@ -423,7 +446,7 @@
 		s.out = max(0, s.out-1)
 		s.pending = max(0, s.pending-1)
 		b.report(s, ev.Load)
-		b.judge(s, ev.Result, b.now-ev.Latency)
+		b.judge(s, r, ev)
 		if r.tried[ev.Attempt] == s && (ev.Result == OK || ev.Result == TimedOut) && ev.Latency > 0 {
 			b.learn(s, r, r.loads[ev.Attempt], ev.Latency.Seconds())
 		}
@@ -462,8 +485,8 @@
 }
 
 // judge sets s aside after a run of failures, and takes it back on its first answer.
-func (b *Balancer) judge(s *server, res Result, sent time.Duration) {
-	switch res {
+func (b *Balancer) judge(s *server, r *request, ev Outcome) {
+	switch ev.Result {
 	case OK:
 		s.okAt = b.now
 		s.fails /= 2
@@ -474,13 +497,14 @@
 		}
 	case ServerError, TimedOut, ConnectFailed, Reset, Full:
 		// A time-out says nothing of a server that has answered since: it is only slow.
-		if res == TimedOut && s.okAt >= sent {
+		if ev.Result == TimedOut && s.okAt >= b.now-ev.Latency {
 			return
 		}
 		// Attempts that time out bring no report: guards against judging a jammed fleet by the
-		// few servers that still answer.
-		if res == TimedOut {
-			s.load, s.loadAt, s.reported = 2*b.inFlight(s), b.now, true
+		// few servers that still answer. Nothing is doubled that was never reported, nor beyond
+		// what explains the time-out: these guesses make the fleet's mean, which makes the next.
+		if held := b.holds(s, ev.Latency.Seconds()/r.work); ev.Result == TimedOut && s.reported {
+			s.load, s.loadAt = max(b.inFlight(s), min(2*b.inFlight(s), held)), b.now
 		}
 		if s.fails++; s.fails < failRun || !s.aside && 3*b.asides() > len(b.order) {
 			return // with a third of the fleet set aside it is overload, not loss
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -480,3 +480,73 @@
 	}
 	p.one(Send, Request{ID: 1, Key: 5, HasKey: true, Budget: time.Second}) // the last list still serves
 }
+
+// TestCrowdIsBounded guards against a queue that grows at a server until it slows down for good:
+// own attempts count as this proxy's part of what all proxies have there.
+func TestCrowdIsBounded(t *testing.T) {
+	set := testSettings()
+	set.Balancers = 2
+	p := newProxy(t, set, 1, Server{ID: 1, Weight: 2}, Server{ID: 2, Weight: 1})
+	sent := map[ServerID]int{}
+	for i := range RequestID(40) {
+		for _, a := range p.do(Request{ID: i, Class: 4, Budget: time.Second}) {
+			sent[a.Server]++
+		}
+	}
+	if sent[1] != 2*crowd/2 || sent[2] != crowd/2 {
+		t.Fatalf("sent %v at once", sent)
+	}
+	p.do(Outcome{Request: 0, Server: p.b.requests[0].tried[0].ID, Result: OK, Closed: true, Latency: ms})
+	if acts := p.do(Timer{Token: firstToken + 1}); len(acts) != 1 || acts[0].Do != Send {
+		t.Errorf("got %+v for a held request once there is room", acts)
+	}
+}
+
+// TestTimeOutsAreNoReports guards against guesses that feed on each other: each time-out doubled
+// what the last one had made up, without end where no report ever came to correct it.
+func TestTimeOutsAreNoReports(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		p := newProxy(t, testSettings(), 1, fleet(1)...)
+		s, sent := p.b.order[0], 0
+		if reported {
+			p.b.report(s, LoadReport{N: 1, Values: [4]float64{2}})
+		}
+		p.one(Send, Request{ID: 0, Class: 4, Budget: time.Hour}) // stays out
+		for i := RequestID(1); sent < 40; i++ {
+			s.aside = false
+			if acts := p.do(Request{ID: i, Class: 4, Budget: time.Second}); acts[0].Do == Send {
+				sent++
+				p.now += 100 * ms
+				p.do(Outcome{Request: i, Server: s.ID, Result: TimedOut, Latency: 100 * ms})
+			}
+		}
+		// Two attempts at a time were out.
+		if got := p.b.inFlight(s); got > 100 {
+			t.Errorf("reported %t: believed to hold %g", reported, got)
+		}
+	}
+}
+
+// TestTrialByKeyedRequest guards against a server that is left out for good where no class is
+// safe: a keyed request may try it if its group has another server; an unsafe one may not.
+func TestTrialByKeyedRequest(t *testing.T) {
+	p := newProxy(t, testSettings(), 1, fleet(8)...)
+	lost := p.b.order[0]
+	lost.aside, lost.trialAt = true, p.now
+	p.b.resize(lost, 0)
+	if a := p.one(Send, Request{ID: 1, Class: 4, Budget: time.Second}); a.Server == lost.ID {
+		t.Error("tried by an unsafe request")
+	}
+	a := p.one(Send, Request{ID: 2, Class: 2, Budget: time.Second})
+	if a.Server != lost.ID || a.For >= time.Second {
+		t.Errorf("got %+v, want a trial that leaves time for another", a)
+	}
+	p.do(Outcome{Request: 2, Server: lost.ID, Result: TimedOut, Latency: 100 * ms})
+	p.now = lost.trialAt
+	for _, s := range p.b.order[1:4] { // its zone's others
+		s.aside = true
+	}
+	if a := p.one(Send, Request{ID: 3, Class: 2, Budget: time.Second}); a.Server == lost.ID {
+		t.Error("tried where nothing could make up for a failure")
+	}
+}
