Bound what callers and next hops can hold, and never write on a leg with leftovers

On the hop side readHop skipped a partial leftover on an idle leg, so the next answer would have been read behind it. netpoll's accept, once out of descriptors, can't leave epoll a second time and spins: hence a bound in front of it.

Now: silent legs end after 2 s, half requests after 2.5 s, idle ones after 10 s; room is made by callers who never asked; the listener turns away what has no descriptor; one message at most is on its way to the reducer; an id that is open gets 409; a flooded leg answers what it has in work and closes. Before a request is written its leg is looked at (parser, way here, buffer, socket), and one that brought anything, or its end, is replaced. A dial keeps time for another next hop. The model takes these steps too; each test fails without its part.

--- a/cmd/lilacglade/serve_test.go
+++ b/cmd/lilacglade/serve_test.go
@@ -224,6 +224,7 @@
 		{strings.Replace(whole, "album-edit", "album-burn", 1), 400, true},
 		{strings.Replace(whole, "album-edit", "photo-upload", 1), 400, true}, // it carries no key
 		{strings.Replace(whole, "20000", "soon", 1), 400, true},
+		{strings.Replace(whole, "\r\n\r\n", "\r\nRequest-Id: r2\r\n\r\n", 1), 400, true},
 		{edit + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400, true},
 		{edit + "Content-Length: 70000\r\n\r\n" + long, 413, true},
 		{edit + "A: " + long + "\r\n\r\n", 431, true},
@@ -239,6 +240,39 @@
 	}
 }
 
+// TestFloodIsNotServedOn guards against callers who send on and on without waiting: the request in
+// work keeps its answer, which is the leg's last. Its id may not be used by another meanwhile.
+func TestFloodIsNotServedOn(t *testing.T) {
+	here, on := make(chan struct{}, 100), make(chan struct{})
+	n := start(t, discovery(t, album(t, func(w http.ResponseWriter, r *http.Request) {
+		here <- struct{}{}
+		<-on
+		echo(w, r)
+	})))
+	_, r := n.say(whole)
+	<-here
+	_, thief := n.say(whole)
+	if res, _ := n.hear(thief); res.StatusCode != 409 {
+		t.Errorf("got %d for an id in use", res.StatusCode)
+	}
+	conn, flood := n.say(strings.Replace(whole, "r1", "r2", 1))
+	<-here
+	// More than the kernel holds for both sides, so the program has read of it when it is written.
+	if _, err := io.WriteString(conn, strings.Repeat(whole, 80000)); err != nil {
+		t.Error(err)
+	}
+	close(on)
+	if res, _ := n.hear(r); res.StatusCode != 200 || res.Close {
+		t.Errorf("got %d, closing %t", res.StatusCode, res.Close)
+	}
+	if res, _ := n.hear(flood); res.StatusCode != 200 {
+		t.Errorf("got %d for the request before the flood", res.StatusCode)
+	}
+	if _, err := http.ReadResponse(flood, nil); err == nil {
+		t.Error("served on")
+	}
+}
+
 // TestWhatAlbumServersAnswer covers the outcomes as a caller sees them.
 func TestWhatAlbumServersAnswer(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -15,6 +15,10 @@
 	MaxBody = 64 << 10
 )
 
+// maxFraming is the most that may frame a chunked body: sizes, extensions and trailers. It lets
+// through a body that comes in chunks of one byte.
+const maxFraming = 8 * MaxBody
+
 // What can be wrong with a message.
 var (
 	ErrMalformed = errors.New("malformed message")
@@ -44,6 +48,16 @@
 	return nil
 }
 
+// Count is the number of fields of that name.
+func (m *Message) Count(name string) (n int) {
+	for _, f := range m.Fields {
+		if equalFold(f.Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // Path is the target without its query.
 func (m *Message) Path() []byte {
 	path, _, _ := bytes.Cut(m.Target, []byte("?"))
@@ -60,6 +74,7 @@
 	frame   framing
 	left    int // of a body or chunk: bytes still to come
 	at, end int // chunked: next byte to read, end of the body decoded in place
+	framed  int // chunked: bytes that were not the body's
 	chunk   chunkState
 	asked   bool
 	err     error
@@ -128,9 +143,15 @@
 			p.msg.Body = p.buf[start:start]
 		}
 		whole, err := p.readChunks()
-		if err != nil || !whole {
+		if err != nil {
 			return nil, err
 		}
+		if !whole {
+			// Guards against a body that is small and its framing endless.
+			p.buf = append(p.buf[:p.end], p.buf[p.at:]...)
+			p.at = p.end
+			return nil, nil
+		}
 	case tillClose:
 		if len(p.buf)-p.at > MaxBody {
 			return nil, ErrBodySize
@@ -305,6 +326,9 @@
 		}
 		line := p.buf[p.at : p.at+n]
 		p.at += n + 2
+		if p.framed += n + 2; p.framed > maxFraming {
+			return false, ErrMalformed
+		}
 		switch p.chunk {
 		case chunkSize:
 			digits, _, _ := bytes.Cut(line, []byte(";"))
--- a/internal/http1/parser_test.go
+++ b/internal/http1/parser_test.go
@@ -83,6 +83,27 @@
 	}
 }
 
+// TestEndlessFraming guards against a body that stays small while what frames it goes on.
+func TestEndlessFraming(t *testing.T) {
+	for _, piece := range []string{"1;" + strings.Repeat("x", 4000) + "\r\na\r\n", "T: u\r\n"} {
+		p := Parser{Responses: true}
+		p.Feed([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		if piece[0] == 'T' {
+			p.Feed([]byte("0\r\n"))
+		}
+		fed, most := 0, 0
+		var err error
+		for ; err == nil && fed < 2*maxFraming; fed += len(piece) {
+			p.Feed([]byte(piece))
+			_, err = p.Next()
+			most = max(most, p.Held())
+		}
+		if err == nil || most > MaxHead+MaxBody {
+			t.Errorf("%.9q: error %v, %d bytes held", piece, err, most)
+		}
+	}
+}
+
 func TestAnswerThatEndsWithItsConnection(t *testing.T) {
 	if got := all([]byte("HTTP/1.1 200 OK\r\n\r\nabc"), 4, true); !strings.Contains(got, `200 true "abc"`) {
 		t.Errorf("got %s", got)
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -72,7 +72,7 @@
 
 // reasons are the phrases of the answers that the proxy words itself, and of a served one.
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 func statusLine(status int) []byte {
--- a/internal/legs/inbox.go
+++ b/internal/legs/inbox.go
@@ -44,8 +44,10 @@
 	bytesIn  struct {
 		leg  *leg
 		data []byte
+		cut  bool // more came and was dropped
 		read time.Time
 	}
+	unfit   struct{ leg *leg }
 	broken  struct{ leg *leg }
 	written struct {
 		leg *leg
--- a/internal/legs/leg.go
+++ b/internal/legs/leg.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,12 +19,15 @@
 	caller bool
 	inbox  *inbox
 	conn   netpoll.Connection // nil until a dialed leg is open
+	unread atomic.Int64       // bytes on their way to the reducer's goroutine
+	deaf   atomic.Bool        // what still comes is dropped when it is read
 
 	// Owned by the reducer's goroutine.
 	parser http1.Parser
 	read   time.Time // when the last bytes came in
-	busy   bool      // a request is being worked on or answered
-	parted bool      // what still comes is dropped
+	busy   bool      // caller: a request is being worked on or answered; hop: an answer is owed
+	parted bool      // nothing more is taken from it
+	early  int       // hop: 1xx answers before the one that counts
 
 	mu      sync.Mutex
 	gone    bool // its buffers are no longer to be touched
@@ -31,6 +35,9 @@
 	jobs    []job
 }
 
+// maxUnread is the largest message that is read, in any framing.
+const maxUnread = http1.MaxHead + http1.MaxBody
+
 // job is one gathered write.
 type job struct {
 	bufs   [][]byte
@@ -39,7 +46,7 @@
 }
 
 // attach hooks a leg into its connection. It must come before OnRequest is set.
-func (g *leg) attach(conn netpoll.Connection) {
+func (g *leg) attach(conn netpoll.Connection, closed func()) {
 	g.conn = conn
 	conn.AddCloseCallback(func(netpoll.Connection) error {
 		// The library frees its buffers right after this: guards against a writer that is
@@ -47,6 +54,7 @@
 		g.mu.Lock()
 		g.gone = true
 		g.mu.Unlock()
+		closed()
 		g.inbox.post(broken{g})
 		return nil
 	})
@@ -54,19 +62,35 @@
 
 // onRequest takes all bytes that have come. netpoll calls it again at once for as long as any
 // are left, so a partial message must not stay behind in its buffer; and what it returns is
-// only valid until Release, hence the copy.
+// only valid until Release, hence the copy. Guards against a sender that is faster than the
+// reducer: nobody may have more than the largest message on its way, the rest is dropped.
 func (g *leg) onRequest(_ context.Context, conn netpoll.Connection) error {
 	read := time.Now()
 	r := conn.Reader()
-	b, err := r.Next(r.Len())
-	if err != nil {
+	n := r.Len()
+	take := min(n, maxUnread-int(g.unread.Load()))
+	if g.deaf.Load() {
+		take = 0
+	}
+	var data []byte
+	if take > 0 {
+		b, err := r.Next(take)
+		if err != nil {
+			return err
+		}
+		data = append(make([]byte, 0, len(b)), b...)
+	}
+	if err := r.Skip(n - len(data)); err != nil {
 		return err
 	}
-	data := append(make([]byte, 0, len(b)), b...)
 	if err := r.Release(); err != nil {
 		return err
 	}
-	g.inbox.post(bytesIn{g, data, read})
+	cut := n > len(data) && !g.deaf.Swap(true)
+	if cut || len(data) > 0 {
+		g.unread.Add(int64(len(data)))
+		g.inbox.post(bytesIn{g, data, cut, read})
+	}
 	return nil
 }
 
@@ -109,9 +133,27 @@
 	}
 }
 
+// fit tells whether a hop leg can carry a request: it is open, and nothing has come on it that
+// the next request could take for its answer, neither here, nor on the way here, nor unread.
+func (g *leg) fit() bool {
+	if g.parser.Partial() || g.unread.Load() > 0 || g.deaf.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.conn.(netpoll.Conn)
+	if !ok || g.gone || g.conn.Reader().Len() > 0 {
+		return false
+	}
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(c.Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
+}
+
 // part ends sending; the other side reads what was sent and then the end.
 func (g *leg) part() {
 	g.parted = true
+	g.deaf.Store(true)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c, ok := g.conn.(netpoll.Conn); ok && !g.gone {
@@ -122,6 +164,7 @@
 // close ends a leg, open or not.
 func (g *leg) close() {
 	g.parted = true
+	g.deaf.Store(true)
 	if g.conn != nil {
 		_ = g.conn.Close()
 	}
@@ -140,7 +183,7 @@
 // open makes a dialed leg ready. It is called by the reducer's goroutine, so that closing it
 // can't cross with its opening.
 func (g *leg) open(conn netpoll.Connection) bool {
-	g.attach(conn)
+	g.attach(conn, func() {})
 	if err := conn.SetOnRequest(g.onRequest); err != nil || !conn.IsActive() {
 		g.close()
 		return false
--- a/internal/legs/legs_test.go
+++ b/internal/legs/legs_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"os"
 	"runtime"
 	"testing"
 	"time"
@@ -71,6 +74,106 @@
 	}
 }
 
+// hop returns an open hop leg and the other side of it.
+func hop(t *testing.T) (*leg, net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	conn, err := netpoll.DialConnection("tcp", ln.Addr().String(), far)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &leg{inbox: newInbox(), parser: http1.Parser{Responses: true}}
+	if t.Cleanup(func() { g.close(); other.Close() }); !g.open(conn) {
+		t.Fatal("not open")
+	}
+	return g, other
+}
+
+// TestUnfitLegs guards against writing a request on a hop leg where something has come that the
+// request would take for its answer, wherever that is on its way, or that the other side ended.
+func TestUnfitLegs(t *testing.T) {
+	for name, spoil := range map[string]func(net.Conn){
+		"noise": func(c net.Conn) { c.Write([]byte("x")) },
+		"end":   func(c net.Conn) { c.Close() },
+	} {
+		g, other := hop(t)
+		if !g.fit() {
+			t.Fatalf("%s: unfit from the start", name)
+		}
+		spoil(other)
+		for end := time.Now().Add(far); g.fit(); {
+			if time.Now().After(end) {
+				t.Fatalf("%s: still fit", name)
+			}
+		}
+	}
+}
+
+// TestReadAheadIsBounded guards against a sender that is faster than the reducer: what waits for
+// it stays within one message, and it is told once that the rest was dropped.
+func TestReadAheadIsBounded(t *testing.T) {
+	g, other := hop(t)
+	sent := make([]byte, 8*maxUnread)
+	if _, err := other.Write(sent); err != nil { // all is read, though nobody takes it
+		t.Fatal(err)
+	}
+	other.Close()
+	cuts, got := 0, 0
+	for ended := false; !ended; {
+		<-g.inbox.wake
+		for _, item := range g.inbox.take(nil) {
+			switch item := item.(type) {
+			case bytesIn:
+				if got += len(item.data); item.cut {
+					cuts++
+				}
+			case broken:
+				ended = true
+			}
+		}
+	}
+	if cuts != 1 || got > maxUnread {
+		t.Errorf("%d bytes kept, told %d times", got, cuts)
+	}
+}
+
+// TestListenerTurnsAway guards against running out of descriptors.
+func TestListenerTurnsAway(t *testing.T) {
+	bare, err := netpoll.CreateListener("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer bare.Close()
+	ln := &listener{Listener: bare}
+	for _, most := range []int64{1, 0} {
+		ln.most.Store(most)
+		c, err := net.Dial("tcp", bare.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conn, err := ln.Accept()
+		if err != nil || (conn != nil) != (most > 0) {
+			t.Errorf("at most %d: got %v, %v", most, conn, err)
+		}
+		if conn != nil {
+			conn.Close()
+		}
+		c.SetDeadline(time.Now().Add(far))
+		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("at most %d: not closed, %v", most, err)
+		}
+	}
+}
+
 func TestLoadReports(t *testing.T) {
 	names := []lg.LoadField{lg.LoadInFlight, lg.LoadLatency}
 	tests := map[string]lg.LoadReport{
--- a/internal/legs/messages.go
+++ b/internal/legs/messages.go
@@ -29,6 +29,9 @@
 	pathReady    = "/healthz"
 )
 
+// once are the fields that a request may hold one time only.
+var once = []string{fieldID, fieldClass, fieldTenant, fieldKey, fieldTimeout, fieldUnique, fieldRetry}
+
 // maxTimeout bounds what a caller may ask for.
 const maxTimeout = time.Hour
 
@@ -65,6 +68,11 @@
 	if method != "GET" && method != "POST" {
 		return faulty(id, 405, "Allow: GET, POST\r\n", m.Close)
 	}
+	for _, name := range once {
+		if m.Count(name) > 1 {
+			return faulty(id, 400, "", true) // whoever reads it next may take another one
+		}
+	}
 	class := -1
 	for i := range set.Classes {
 		if string(m.Get(fieldClass)) == set.Classes[i].Name {
@@ -88,8 +96,8 @@
 	if (len(m.Get(fieldUnique)) > 0) != (c.Effect == lg.Keyed) {
 		return faulty(id, 400, "", true)
 	}
-	ev := proxystate.CallerAsked{Leg: id, Class: class, Tenant: -1, Deadline: read + may,
-		Repeat: string(m.Get(fieldRetry)) == "1", Payload: m, Last: m.Close}
+	ev := proxystate.CallerAsked{Leg: id, Name: string(m.Get(fieldID)), Class: class, Tenant: -1,
+		Deadline: read + may, Repeat: string(m.Get(fieldRetry)) == "1", Payload: m, Last: m.Close}
 	for i := range set.Tenants {
 		if string(m.Get(fieldTenant)) == set.Tenants[i].Name {
 			ev.Tenant = i
@@ -171,6 +179,8 @@
 			fields = "Retry-After: " + seconds + "\r\n"
 		}
 		return http1.Answer(503, fields, "", e.Last)
+	case proxystate.Taken:
+		return http1.Answer(409, "", "", e.Last)
 	case proxystate.TooSlow:
 		return http1.Answer(408, "", "", e.Last)
 	case proxystate.Late:
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -41,20 +42,29 @@
 // continueWithin is how long a caller may take to read the leave to send its body.
 const continueWithin = 10 * time.Second
 
-// heldWhileBusy bounds what a caller may send ahead while its request is being worked on.
-const heldWhileBusy = http1.MaxHead + http1.MaxBody
+// heldWhileBusy bounds what a caller may send ahead while its request is being worked on: some
+// requests without much of a body.
+const heldWhileBusy = http1.MaxHead
+
+// mostEarly bounds the 1xx answers before the one that counts.
+const mostEarly = 8
+
+// recvBuffer is what the kernel keeps for a caller leg that is not read from. netpoll's own
+// buffers grow with what it finds there at a time.
+const recvBuffer = http1.MaxBody
 
 type proxy struct {
-	set     settings.Settings
-	start   time.Time
-	inbox   *inbox
-	state   *proxystate.State
-	routes  *routeset.Set
-	watcher *watcher
-	callers map[proxystate.LegID]*leg
-	hops    map[proxystate.LegID]*leg
-	timer   *time.Timer
-	done    bool
+	set      settings.Settings
+	start    time.Time
+	inbox    *inbox
+	state    *proxystate.State
+	routes   *routeset.Set
+	watcher  *watcher
+	listener *listener
+	callers  map[proxystate.LegID]*leg
+	hops     map[proxystate.LegID]*leg
+	timer    *time.Timer
+	done     bool
 }
 
 // budget gives callers and next hops their parts of the descriptors.
@@ -72,16 +82,22 @@
 	callers, hops := budget(node.Limits)
 	var err error
 	p.state, err = proxystate.New(proxystate.Config{Settings: p.set.Settings, Seed: node.Seed,
-		MaxCallers: callers, MaxHops: hops, IdleHops: p.set.KeepAlive / idleParts,
+		MaxCallers: calm(callers), MaxHops: hops, IdleHops: p.set.KeepAlive / idleParts,
 		Discovery: node.Discovery})
 	if err != nil {
 		return err
 	}
-	ln, err := netpoll.CreateListener("tcp", node.Listen)
+	bare, err := netpoll.CreateListener("tcp", node.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	loop, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(p.accept()))
+	if err := syscall.SetsockoptInt(bare.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, recvBuffer); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	ln := &listener{Listener: bare}
+	ln.most.Store(int64(callers))
+	p.listener = ln
+	loop, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(p.accept(ln)))
 	if err != nil {
 		return err
 	}
@@ -108,11 +124,12 @@
 type legKey struct{}
 
 // accept returns netpoll's hook for a new connection.
-func (p *proxy) accept() netpoll.OnPrepare {
+func (p *proxy) accept(ln *listener) netpoll.OnPrepare {
 	var last atomic.Uint64
 	return func(conn netpoll.Connection) context.Context {
+		ln.open.Add(1)
 		g := &leg{id: proxystate.LegID(last.Add(1)), caller: true, inbox: p.inbox}
-		g.attach(conn)
+		g.attach(conn, func() { ln.open.Add(-1) })
 		p.inbox.post(accepted{g})
 		return context.WithValue(context.Background(), legKey{}, g)
 	}
@@ -157,16 +174,19 @@
 		p.step(proxystate.CallerOpened{Leg: item.leg.id})
 	case bytesIn:
 		g := item.leg
+		g.unread.Add(-int64(len(item.data)))
 		if g.parted {
 			return
 		}
 		g.parser.Feed(item.data)
 		g.read = item.read
 		if g.caller {
-			p.readCaller(g)
+			p.readCaller(g, item.cut)
 		} else {
-			p.readHop(g)
+			p.readHop(g, item.cut)
 		}
+	case unfit:
+		p.step(proxystate.HopUnfit{Leg: item.leg.id})
 	case broken:
 		p.broke(item.leg)
 	case written:
@@ -177,7 +197,7 @@
 		}
 		g.busy = false
 		p.step(proxystate.CallerWritten{Leg: g.id, OK: item.ok})
-		p.readCaller(g)
+		p.readCaller(g, false)
 	case dialed:
 		g := item.leg
 		if g.parted { // closed while it was being opened
@@ -199,20 +219,25 @@
 		n := item.node
 		log.Printf("a new configuration: discovery at %s", n.Discovery)
 		callers, hops := budget(n.Limits)
-		p.step(proxystate.Reloaded{Discovery: n.Discovery, MaxCallers: callers, MaxHops: hops})
+		p.listener.most.Store(int64(callers))
+		p.step(proxystate.Reloaded{Discovery: n.Discovery, MaxCallers: calm(callers), MaxHops: hops})
 	case stopping:
 		p.step(proxystate.Stopping{})
 	}
 }
 
-// readCaller looks for the next request on a caller leg. Requests are taken one at a time.
-func (p *proxy) readCaller(g *leg) {
+// readCaller looks for the next request on a caller leg. Requests are taken one at a time. Cut
+// says that the caller had sent more than is read ahead.
+func (p *proxy) readCaller(g *leg, cut bool) {
 	if g.parted {
 		return
 	}
 	if g.busy {
-		if g.parser.Held() > heldWhileBusy {
-			g.close() // a caller that sends on and on without waiting for answers
+		// Guards against a caller that sends on and on without waiting for answers. What it asked
+		// first is still answered.
+		if cut || g.parser.Held() > heldWhileBusy {
+			g.deaf.Store(true)
+			p.step(proxystate.CallerFlooding{Leg: g.id})
 		}
 		return
 	}
@@ -224,6 +249,10 @@
 	case m != nil:
 		g.busy = true
 		p.step(asked(&p.set, g.id, m, p.at(g.read)))
+		p.readCaller(g, cut)
+	case cut:
+		g.busy = true
+		p.step(unreadable(g.id, http1.ErrBodySize))
 	case g.parser.Partial():
 		p.step(proxystate.CallerReading{Leg: g.id})
 		if g.parser.WantsContinue() {
@@ -232,16 +261,27 @@
 	}
 }
 
-// readHop looks for the answer on a hop leg.
-func (p *proxy) readHop(g *leg) {
+// readHop looks for the answer on a hop leg. Whatever is not the one answer that is owed makes
+// the leg unfit: the next request could take it for its own.
+func (p *proxy) readHop(g *leg, cut bool) {
+	if !g.busy {
+		p.step(proxystate.HopStray{Leg: g.id})
+		return
+	}
 	m, err := g.parser.Next()
-	for err == nil && m != nil && m.Status < 200 {
-		m, err = g.parser.Next()
+	for ; err == nil && m != nil && m.Status < 200; m, err = g.parser.Next() {
+		if g.early++; g.early > mostEarly || m.Status == 101 {
+			err = http1.ErrMalformed
+			break
+		}
 	}
-	if err != nil {
+	switch {
+	case err != nil, m == nil && cut:
+		g.busy = false
 		p.step(proxystate.HopAnswered{Leg: g.id, Result: lg.ServerError})
-	} else if m != nil {
-		p.step(answered(&p.set, g.id, m, !g.parser.Partial()))
+	case m != nil:
+		g.busy = false
+		p.step(answered(&p.set, g.id, m, !g.parser.Partial() && !cut))
 	}
 }
 
@@ -251,7 +291,7 @@
 		p.step(proxystate.CallerClosed{Leg: g.id})
 		return
 	}
-	if m := g.parser.End(); m != nil && !g.parted {
+	if m := g.parser.End(); m != nil && g.busy && !g.parted {
 		p.step(answered(&p.set, g.id, m, false))
 	}
 	delete(p.hops, g.id)
@@ -300,6 +340,11 @@
 		go g.dial(p.routes.Address(e.Server), p.wall(e.At))
 	case proxystate.Forward:
 		if g := p.hops[e.Leg]; g != nil {
+			if !g.fit() {
+				p.inbox.post(unfit{g})
+				return
+			}
+			g.busy, g.early = true, 0
 			ms := max(1, (e.At - p.now()).Milliseconds())
 			bufs := e.Payload.(*http1.Message).Forward(fieldTimeout, fmt.Sprint(ms))
 			g.write(job{bufs: bufs, by: p.wall(e.At), report: true})
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -4,40 +4,79 @@
 
 func (s *State) phase(c *caller, p callerPhase) { c.phase, c.since = p, s.now }
 
-// opened takes in a caller leg. At the cap the one that has been idle longest makes room; if
-// all are busy, the new one is refused once it has asked.
+// reading notes that a request has begun to come in. The first one's time counts from the start
+// of its leg, so that a caller can't stretch it by saying nothing first.
+func (s *State) reading(c *caller) {
+	since := s.now
+	if !c.asked {
+		since = c.since
+	}
+	c.phase, c.since = callerReading, since
+}
+
+// opened takes in a caller leg. At the cap the one that is least of use makes room; if all are
+// busy, the new one is refused once it has asked.
 func (s *State) opened(id LegID) {
 	c := &caller{id: id}
 	if len(s.callers) >= s.cfg.MaxCallers {
-		var oldest *caller
-		for _, c := range s.callers {
-			if c.phase == callerIdle && (oldest == nil || c.since < oldest.since) {
-				oldest = c
-			}
-		}
-		if c.over = oldest == nil; !c.over {
-			s.closeCaller(oldest)
+		spare := s.spare()
+		if c.over = spare == nil; !c.over {
+			s.closeCaller(spare)
 		}
 	}
 	s.phase(c, callerIdle)
 	s.callers[id] = c
 }
 
+// spare is the leg that can be missed most, nil if all are busy: one whose last answer is
+// written, else one that has never asked, else any that is idle; of these the oldest. Guards
+// against callers who connect and say nothing pushing out the ones who come back.
+func (s *State) spare() *caller {
+	var best *caller
+	for _, c := range s.callers {
+		if (c.phase == callerIdle || c.phase == callerParting) &&
+			(best == nil || c.use() < best.use() || c.use() == best.use() && c.since < best.since) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (c *caller) use() int {
+	switch {
+	case c.phase == callerParting:
+		return 0
+	case !c.asked:
+		return 1
+	}
+	return 2
+}
+
 func (s *State) asked(ev CallerAsked) {
 	c := s.callers[ev.Leg]
 	if c == nil || c.phase > callerReading {
 		return
 	}
-	if c.over {
+	switch {
+	case c.over && len(s.callers) > s.cfg.MaxCallers:
 		s.reply(c.id, Effect{Verdict: Busy, Last: true})
 		return
+	case s.names[ev.Name]:
+		// Guards against a request in another's name: two of them at the album servers are the
+		// same to whoever looks for repeats.
+		s.reply(c.id, Effect{Verdict: Taken, Last: ev.Last})
+		return
 	}
+	c.over = false
 	s.lastID++
-	r := &request{id: s.lastID, caller: c, deadline: ev.Deadline - margin, payload: ev.Payload}
+	r := &request{id: s.lastID, name: ev.Name, caller: c, deadline: ev.Deadline - margin, payload: ev.Payload}
+	r.reachBy = s.now + max(0, r.deadline-s.now)/2
 	s.phase(c, callerAsking)
-	c.last = ev.Last
+	c.asked = true
+	c.last = c.last || ev.Last
 	c.req = r
 	s.requests[r.id] = r
+	s.names[r.name] = true
 	s.clock.add(r.deadline, func() { s.overdue(r) })
 	s.tell(lg.Request{ID: r.id, Class: ev.Class, Tenant: ev.Tenant, Key: ev.Key, HasKey: ev.HasKey,
 		Budget: max(0, r.deadline-s.now), Repeat: ev.Repeat})
@@ -79,11 +118,21 @@
 // forget marks a request as done; it is remembered until its branch has come back.
 func (s *State) forget(r *request) {
 	r.done, r.caller = true, nil
+	if r.branch != nil && r.branch.leg == nil {
+		s.end(r.branch, lg.Moot, lg.LoadReport{}) // it would be sent for nobody
+		return
+	}
 	if r.branch == nil {
-		delete(s.requests, r.id)
+		s.remove(r)
 	}
 }
 
+// remove ends the memory of a request of which nothing is out any more.
+func (s *State) remove(r *request) {
+	delete(s.requests, r.id)
+	delete(s.names, r.name)
+}
+
 // reply has an answer written on a caller leg.
 func (s *State) reply(id LegID, e Effect) {
 	c := s.callers[id]
@@ -91,6 +140,7 @@
 		return
 	}
 	s.phase(c, callerAnswering)
+	c.asked = true
 	c.last = c.last || e.Last || s.stopping
 	e.Do, e.Leg, e.Last, e.At = AnswerCaller, id, c.last, s.now+takeWithin
 	s.do(e)
--- a/internal/proxystate/events.go
+++ b/internal/proxystate/events.go
@@ -24,9 +24,11 @@
 // CallerReading says that a request has begun to come in and is not whole yet.
 type CallerReading struct{ Leg LegID }
 
-// CallerAsked brings a whole request. Payload is what a next hop is to get.
+// CallerAsked brings a whole request. Name is its id among all callers' requests. Payload is
+// what a next hop is to get.
 type CallerAsked struct {
 	Leg           LegID
+	Name          string
 	Class, Tenant int
 	Key           uint64
 	HasKey        bool
@@ -43,6 +45,10 @@
 	Last    bool
 }
 
+// CallerFlooding says that a caller sent far ahead while its request is being worked on: what
+// it sent is dropped from here on, and the leg closes with the answer.
+type CallerFlooding struct{ Leg LegID }
+
 // CallerProbed asks whether the proxy is ready.
 type CallerProbed struct {
 	Leg  LegID
@@ -79,6 +85,13 @@
 	Keep    bool
 }
 
+// HopUnfit says instead of HopWritten that nothing was written: before the request, bytes that
+// nobody had asked for came on the leg, or its end.
+type HopUnfit struct{ Leg LegID }
+
+// HopStray says that something came on a leg that owes no answer.
+type HopStray struct{ Leg LegID }
+
 // HopClosed says that a hop leg is gone.
 type HopClosed struct{ Leg LegID }
 
@@ -97,21 +110,24 @@
 // Stopping says that the proxy is to end once all is answered.
 type Stopping struct{}
 
-func (CallerOpened) event()  {}
-func (CallerReading) event() {}
-func (CallerAsked) event()   {}
-func (CallerFaulty) event()  {}
-func (CallerProbed) event()  {}
-func (CallerWritten) event() {}
-func (CallerClosed) event()  {}
-func (HopDialed) event()     {}
-func (HopWritten) event()    {}
-func (HopAnswered) event()   {}
-func (HopClosed) event()     {}
-func (RoutesTold) event()    {}
-func (Reloaded) event()      {}
-func (Woken) event()         {}
-func (Stopping) event()      {}
+func (CallerOpened) event()   {}
+func (CallerReading) event()  {}
+func (CallerAsked) event()    {}
+func (CallerFaulty) event()   {}
+func (CallerFlooding) event() {}
+func (CallerProbed) event()   {}
+func (CallerWritten) event()  {}
+func (CallerClosed) event()   {}
+func (HopDialed) event()      {}
+func (HopWritten) event()     {}
+func (HopAnswered) event()    {}
+func (HopUnfit) event()       {}
+func (HopStray) event()       {}
+func (HopClosed) event()      {}
+func (RoutesTold) event()     {}
+func (Reloaded) event()       {}
+func (Woken) event()          {}
+func (Stopping) event()       {}
 
 // Do says what an Effect asks for.
 type Do uint8
@@ -141,6 +157,7 @@
 	Broken                  // no promise whether it was done
 	Late                    // the same, for want of time
 	Faulty                  // Payload is the answer
+	Taken                   // its name belongs to a request that is open
 	ReadyNow                // the proxy takes requests
 	NotReady                // it doesn't yet, or no more
 	TooSlow                 // the request took too long to come in
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -59,7 +59,17 @@
 	s.lastLeg++
 	l := &hopLeg{id: s.lastLeg, hop: h, phase: hopDialing, since: s.now}
 	s.legs[l.id] = l
-	s.do(Effect{Do: Dial, Leg: l.id, Server: h.id, At: min(b.until, s.now+s.cfg.Settings.ConnectTimeout)})
+	s.do(Effect{Do: Dial, Leg: l.id, Server: h.id, At: s.dialBy(b)})
+}
+
+// dialBy is when a leg for the branch must be open. A request that no next hop has had whole yet
+// keeps time for another one: half of what is left until it should have been had.
+func (s *State) dialBy(b *branch) time.Duration {
+	by := min(b.until, s.now+s.cfg.Settings.ConnectTimeout)
+	if r := b.req; !r.reached && r.reachBy > s.now {
+		by = min(by, s.now+(r.reachBy-s.now)/2)
+	}
+	return by
 }
 
 // room makes sure of a descriptor for one more hop leg: at the cap the leg that has been idle
@@ -135,7 +145,7 @@
 	s.tell(lg.Outcome{Request: r.id, Attempt: b.number, Server: b.hop.id, Result: res, Closed: r.done,
 		Latency: s.now - b.sent, Load: load})
 	if r.done {
-		delete(s.requests, r.id)
+		s.remove(r)
 	}
 }
 
@@ -170,11 +180,34 @@
 	}
 }
 
+// unfit drops a leg on which nothing could be written; its branch gets another.
+func (s *State) unfit(id LegID) {
+	l := s.legs[id]
+	if l == nil || l.phase != hopWriting {
+		return
+	}
+	b := l.branch
+	l.branch = nil
+	s.drop(l)
+	if b == nil {
+		return
+	}
+	b.leg = nil
+	if b.req.done {
+		s.end(b, lg.Moot, lg.LoadReport{})
+		return
+	}
+	s.assign(b)
+}
+
 func (s *State) hopWritten(ev HopWritten) {
 	l := s.legs[ev.Leg]
 	if l == nil || l.phase != hopWriting && l.phase != hopEarly {
 		return
 	}
+	if ev.OK && l.branch != nil {
+		l.branch.req.reached = true
+	}
 	switch {
 	case l.phase == hopEarly && ev.OK && l.keep:
 		s.release(l)
--- a/internal/proxystate/model_test.go
+++ b/internal/proxystate/model_test.go
@@ -1,6 +1,7 @@
 package proxystate
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -42,18 +43,19 @@
 
 // model plays both sides of a State and holds what must be true of the connections.
 type model struct {
-	t       *testing.T
-	s       *State
-	now     time.Duration
-	armed   time.Duration
-	callers map[LegID]*call // nil: idle
-	writing map[LegID]bool  // answers being written, and whether they are the last
-	hops    map[LegID]*hopModel
-	state   map[lg.ServerID]lg.State
-	calls   []*call
-	next    LegID
-	stopped bool
-	done    bool
+	t        *testing.T
+	s        *State
+	now      time.Duration
+	armed    time.Duration
+	callers  map[LegID]*call // nil: idle
+	writing  map[LegID]bool  // answers being written, and whether they are the last
+	flooding map[LegID]bool  // sent too far ahead
+	hops     map[LegID]*hopModel
+	state    map[lg.ServerID]lg.State
+	calls    []*call
+	next     LegID
+	stopped  bool
+	done     bool
 }
 
 func newModel(t *testing.T) *model {
@@ -62,7 +64,8 @@
 		t.Fatal(err)
 	}
 	m := &model{t: t, s: s, now: time.Hour, callers: map[LegID]*call{}, writing: map[LegID]bool{},
-		hops: map[LegID]*hopModel{}, state: map[lg.ServerID]lg.State{}}
+		flooding: map[LegID]bool{},
+		hops:     map[LegID]*hopModel{}, state: map[lg.ServerID]lg.State{}}
 	m.routes(lg.CachedList, lg.Ready, 1, 2, 3)
 	return m
 }
@@ -95,6 +98,9 @@
 		if m.stopped && !e.Last {
 			m.t.Fatal("a leg kept open by an answer after the stop began")
 		}
+		if m.flooding[e.Leg] && !e.Last {
+			m.t.Fatal("a leg kept open whose caller sent too far ahead")
+		}
 		m.writing[e.Leg] = e.Last
 		if c == nil {
 			return
@@ -124,8 +130,8 @@
 		switch {
 		case h == nil || !h.open || h.busy != nil:
 			m.t.Fatalf("forwarded on leg %d, which is closed or busy", e.Leg)
-		case c.out || c.answers > 0:
-			m.t.Fatal("a second branch, or one after the answer")
+		case c.out || c.answers > 0 || c.left:
+			m.t.Fatal("a second branch, or one after the answer, or for nobody")
 		case c.mayRun && c.class == 0:
 			m.t.Fatal("an unsafe request sent again after it may have run")
 		case m.state[h.server] != lg.Ready:
@@ -177,8 +183,8 @@
 func (m *model) ask(leg LegID, class int) {
 	c := &call{leg: leg, class: class, deadline: m.now + m.s.cfg.Settings.Classes[class].Deadline}
 	m.callers[leg], m.calls = c, append(m.calls, c)
-	m.step(CallerAsked{Leg: leg, Class: class, Key: uint64(leg % 5), HasKey: true, Deadline: c.deadline,
-		Payload: c})
+	m.step(CallerAsked{Leg: leg, Name: fmt.Sprint(len(m.calls)), Class: class,
+		Key: uint64(leg % 5), HasKey: true, Deadline: c.deadline, Payload: c})
 }
 
 // end is an exchange's end on a hop leg, as the sockets would tell it.
@@ -208,7 +214,7 @@
 
 // random takes one step that sockets, callers or discovery could take now.
 func (m *model) random(rng *rand.Rand) {
-	switch rng.IntN(13) {
+	switch rng.IntN(15) {
 	case 0, 1, 2, 3:
 		leg := pick(rng, m.callers, func(c *call) bool { return c == nil })
 		if _, busy := m.writing[leg]; leg == 0 || busy || rng.IntN(3) == 0 {
@@ -245,6 +251,11 @@
 	case 8:
 		if id := pick(rng, m.hops, func(h *hopModel) bool { return h.busy != nil && !h.written }); id != 0 {
 			h := m.hops[id]
+			if rng.IntN(6) == 0 { // nothing could be written on it
+				h.busy.out, h.busy = false, nil
+				m.step(HopUnfit{id})
+				break
+			}
 			if h.written = rng.IntN(6) > 0; !h.written { // broken before the last byte: it never ran
 				h.busy.out, h.busy = false, nil
 				m.step(HopClosed{id})
@@ -264,6 +275,17 @@
 			delete(m.hops, id)
 			m.step(HopClosed{id})
 		}
+	case 13:
+		if id := pick(rng, m.hops, func(h *hopModel) bool { return h.open && h.busy == nil }); id != 0 {
+			if m.step(HopStray{id}); m.hops[id] != nil {
+				m.t.Fatal("a leg kept that brought what nobody asked for")
+			}
+		}
+	case 14:
+		if leg := pick(rng, m.callers, func(c *call) bool { return c != nil && c.answers == 0 }); leg != 0 {
+			m.flooding[leg] = true
+			m.step(CallerFlooding{leg})
+		}
 	case 12:
 		if rng.IntN(4) == 0 {
 			m.routes(lg.Changes, []lg.State{lg.Ready, lg.Ready, lg.Draining, lg.Gone}[rng.IntN(4)],
@@ -293,7 +315,7 @@
 		for leg := range m.writing {
 			m.step(CallerWritten{leg, true})
 		}
-		if !m.done || len(m.s.requests) != 0 {
+		if !m.done || len(m.s.requests)+len(m.s.names) != 0 {
 			t.Fatalf("finished %t with %d requests left", m.done, len(m.s.requests))
 		}
 	})
@@ -425,14 +447,98 @@
 	}
 }
 
-// TestSlowRequestIsEnded covers a request that never comes whole.
-func TestSlowRequestIsEnded(t *testing.T) {
+// open adds a caller leg that says nothing.
+func (m *model) open(leg LegID) {
+	m.callers[leg] = nil
+	m.step(CallerOpened{leg})
+}
+
+// TestBadCallersAreEnded guards against callers who hold a leg by saying nothing, or half of
+// something: each is closed or told so within three seconds of connecting. One that has asked
+// keeps its leg for longer.
+func TestBadCallersAreEnded(t *testing.T) {
+	m, c := started(t)
+	m.step(HopWritten{1, true})
+	m.end(1, lg.OK, true)
+	delete(m.writing, c.leg)
+	m.callers[c.leg] = nil
+	m.step(CallerWritten{c.leg, true})
+	m.open(2)
+	m.open(3)
+	m.pass(askWithin - ms) // says nothing for as long as it can, then half a request
+	m.step(CallerReading{3})
+	m.pass(3*time.Second - askWithin)
+	if _, there := m.callers[2]; there || !m.writing[3] {
+		t.Error("a silent caller kept, or a slow one not told")
+	}
+	if _, there := m.callers[c.leg]; !there {
+		t.Error("a caller that had asked was closed")
+	}
+	if m.pass(idleWithin); len(m.callers) != 1 {
+		t.Error("an idle leg kept for good")
+	}
+}
+
+// TestRoomIsMadeBySilentCallers guards against callers who only connect pushing out the others.
+func TestRoomIsMadeBySilentCallers(t *testing.T) {
+	m, c := started(t)
+	m.step(HopWritten{1, true})
+	m.end(1, lg.OK, true)
+	delete(m.writing, c.leg)
+	m.callers[c.leg] = nil
+	m.step(CallerWritten{c.leg, true})
+	for leg := LegID(2); leg < 40; leg++ {
+		m.open(leg)
+	}
+	if _, there := m.callers[c.leg]; !there || len(m.callers) != m.s.cfg.MaxCallers {
+		t.Errorf("kept %t among %d legs", there, len(m.callers))
+	}
+}
+
+// TestNameInUse guards against a request in another's name: it must not reach a next hop while
+// the first may, whether or not that one's caller is still there.
+func TestNameInUse(t *testing.T) {
+	m, c := started(t)
+	again := CallerAsked{Leg: 2, Name: "1", Deadline: c.deadline}
+	m.open(2)
+	if v := m.verdict(again); v != Taken {
+		t.Errorf("verdict %d", v)
+	}
+	m.forget(1)
+	m.step(CallerClosed{1})
+	m.open(3)
+	if again.Leg = 3; m.verdict(again) != Taken {
+		t.Error("taken on, though the first may still be at a next hop")
+	}
+	m.pass(time.Second)
+	again.Leg, again.Deadline, again.Payload = 4, m.now+time.Second, &call{leg: 4}
+	m.open(4)
+	for _, e := range m.s.Step(m.now, again) {
+		if e.Do == AnswerCaller && e.Verdict == Taken {
+			t.Error("the name is taken though the first one is over")
+		}
+	}
+}
+
+// TestUnfitLegIsReplaced guards against an answer that belongs to nobody being taken for the
+// next request's: a leg that brought something is closed, and the request goes on another.
+func TestUnfitLegIsReplaced(t *testing.T) {
+	m, c := started(t)
+	m.hops[1].busy, c.out = nil, false
+	m.step(HopUnfit{1})
+	if m.hops[1] != nil || len(m.hops) != 1 || m.hops[2].server != 0 && c.answers != 0 {
+		t.Errorf("legs %v, %d answers", m.hops, c.answers)
+	}
+}
+
+// TestDialLeavesTimeForAnother guards against waiting for one next hop that can't be reached
+// until it is too late for the others.
+func TestDialLeavesTimeForAnother(t *testing.T) {
 	m := newModel(t)
-	m.callers[1] = nil
-	m.step(CallerOpened{1})
-	m.step(CallerReading{1})
-	m.pass(readWithin + sweepEvery)
-	if last, told := m.writing[1]; !told || !last {
-		t.Error("not ended")
+	m.open(1)
+	for _, e := range m.s.Step(m.now, CallerAsked{Leg: 1, Name: "1", Deadline: m.now + 300*ms}) {
+		if e.Do == Dial && e.At > m.now+75*ms {
+			t.Errorf("dials for %v of 300 ms", e.At-m.now)
+		}
 	}
 }
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -9,12 +9,14 @@
 // Times of the mechanism itself.
 const (
 	margin     = 5 * time.Millisecond // the final answer leaves this long before the caller gives up
-	sweepEvery = time.Second
-	readWithin = 10 * time.Second       // a request that takes longer to come in is ended
-	takeWithin = 10 * time.Second       // an answer that its caller doesn't read is given up
-	partWithin = time.Second            // a leg whose sending has ended is closed at the latest
-	drainFor   = 400 * time.Millisecond // callers still come this long after a planned stop begins
-	paceWatch  = 100 * time.Millisecond // between two calls for the route set at least
+	sweepEvery = 250 * time.Millisecond
+	askWithin  = 2 * time.Second         // a new leg that has sent nothing by then is closed
+	readWithin = 2500 * time.Millisecond // a request must come whole, the first counted from its leg's start
+	idleWithin = 10 * time.Second        // a leg that is idle longer is closed
+	takeWithin = 10 * time.Second        // an answer that its caller doesn't read is given up
+	partWithin = time.Second             // a leg whose sending has ended is closed at the latest
+	drainFor   = 400 * time.Millisecond  // callers still come this long after a planned stop begins
+	paceWatch  = 100 * time.Millisecond  // between two calls for the route set at least
 )
 
 // Config is what a State knows from its start on.
@@ -38,6 +40,7 @@
 	armed    time.Duration
 	callers  map[LegID]*caller
 	requests map[lg.RequestID]*request
+	names    map[string]bool // of the requests
 	hops     map[lg.ServerID]*hop
 	legs     map[LegID]*hopLeg
 	lastLeg  LegID
@@ -62,7 +65,8 @@
 type caller struct {
 	id    LegID
 	phase callerPhase
-	since time.Duration // start of the phase
+	since time.Duration // start of the phase; of the leg, until it has asked
+	asked bool          // it has brought something whole
 	req   *request
 	last  bool // to be closed after the answer
 	over  bool // beyond the cap
@@ -71,8 +75,11 @@
 // request is a request that is not answered, or whose branch is still out.
 type request struct {
 	id       lg.RequestID
+	name     string
 	caller   *caller // nil once it has left
 	deadline time.Duration
+	reachBy  time.Duration // a next hop should have it whole by then
+	reached  bool          // one had it whole
 	payload  any
 	branch   *branch // the one that is out
 	sent     int     // branches so far
@@ -128,7 +135,7 @@
 		return nil, err
 	}
 	s := &State{cfg: cfg, bal: bal, callers: map[LegID]*caller{}, requests: map[lg.RequestID]*request{},
-		hops: map[lg.ServerID]*hop{}, legs: map[LegID]*hopLeg{}}
+		names: map[string]bool{}, hops: map[lg.ServerID]*hop{}, legs: map[LegID]*hopLeg{}}
 	s.clock.add(0, s.sweep)
 	return s, nil
 }
@@ -197,12 +204,16 @@
 		s.opened(ev.Leg)
 	case CallerReading:
 		if c := s.callers[ev.Leg]; c != nil && c.phase == callerIdle {
-			s.phase(c, callerReading)
+			s.reading(c)
 		}
 	case CallerAsked:
 		s.asked(ev)
 	case CallerFaulty:
 		s.reply(ev.Leg, Effect{Verdict: Faulty, Payload: ev.Payload, Last: ev.Last})
+	case CallerFlooding:
+		if c := s.callers[ev.Leg]; c != nil {
+			c.last = true
+		}
 	case CallerProbed:
 		verdict := NotReady
 		if s.ready() {
@@ -217,6 +228,14 @@
 		s.dialed(ev)
 	case HopWritten:
 		s.hopWritten(ev)
+	case HopUnfit:
+		s.unfit(ev.Leg)
+	case HopStray:
+		if l := s.legs[ev.Leg]; l != nil && l.phase == hopIdle {
+			s.drop(l)
+		} else if l != nil {
+			l.keep = false
+		}
 	case HopAnswered:
 		s.answered(ev)
 	case HopClosed:
@@ -319,8 +338,15 @@
 		}
 	}
 	for _, c := range s.callers {
-		if c.phase == callerReading && s.now-c.since >= readWithin {
-			s.reply(c.id, Effect{Verdict: TooSlow, Last: true})
+		switch stood := s.now - c.since; c.phase {
+		case callerReading:
+			if stood >= readWithin {
+				s.reply(c.id, Effect{Verdict: TooSlow, Last: true})
+			}
+		case callerIdle:
+			if !c.asked && stood >= askWithin || stood >= idleWithin {
+				s.closeCaller(c)
+			}
 		}
 	}
 }
