Let legs that nobody uses make room from half the cap on, not from the cap

So the callers were out of connections: they hold a third of the descriptors at most (128 of 384) and the proxy kept more than that idle. Ruled out: refusals over the cap (none), the servers (p50 12 ms), the proxy's pace (0.7 ms). At fault: opened() in callers.go, which made room at the cap of 188 only.

Now room is made from half the cap on, for each new leg: legs that are done, then silent or half read for too long, then those idle longest; one that has only just come in stays, where before a fresh leg went ahead of an idle one. The test fails without it.

--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -14,42 +14,57 @@
 	c.phase, c.since = callerReading, since
 }
 
-// opened takes in a caller leg. At the cap the one that is least of use makes room; if all are
-// busy, the new one is refused once it has asked.
+// opened takes in a caller leg. From half the cap on, the one that can be missed most makes
+// room; at the cap, with all busy, the new one is refused once it has asked. Guards against
+// callers who ask once and keep their legs for good: where callers have only so many themselves,
+// the idle ones would leave them none to ask on, long before the proxy runs out.
 func (s *State) opened(id LegID) {
 	c := &caller{id: id}
-	if len(s.callers) >= s.cfg.MaxCallers {
-		spare := s.spare()
-		if c.over = spare == nil; !c.over {
+	if 2*len(s.callers) >= s.cfg.MaxCallers {
+		if spare := s.spare(); spare != nil {
 			s.closeCaller(spare)
 		}
+		c.over = len(s.callers) >= s.cfg.MaxCallers
 	}
 	s.phase(c, callerIdle)
 	s.callers[id] = c
 }
 
-// spare is the leg that can be missed most, nil if all are busy: one whose last answer is
-// written, else one that has never asked, else any that is idle; of these the oldest. Guards
-// against callers who connect and say nothing pushing out the ones who come back.
+// spare is the leg that can be missed most, nil if there is none: of those of the least use, the
+// one that has stood longest.
 func (s *State) spare() *caller {
 	var best *caller
+	least := inUse
 	for _, c := range s.callers {
-		if (c.phase == callerIdle || c.phase == callerParting) &&
-			(best == nil || c.use() < best.use() || c.use() == best.use() && c.since < best.since) {
-			best = c
+		if u := s.use(c); u < least || u < inUse && u == least && c.since < best.since {
+			best, least = c, u
 		}
 	}
 	return best
 }
 
-func (c *caller) use() int {
+// What a leg is of use for, the least first.
+const (
+	doneWith = iota // its last answer is written
+	stuck           // it has said nothing, or half of something, for longer than callers take
+	resting         // idle after an answer
+	justOpen
+	inUse
+)
+
+func (s *State) use(c *caller) int {
+	stood := s.now - c.since
 	switch {
 	case c.phase == callerParting:
-		return 0
-	case !c.asked:
-		return 1
-	}
-	return 2
+		return doneWith
+	case c.phase == callerIdle && c.asked:
+		return resting
+	case c.phase == callerIdle && stood < soonAsked:
+		return justOpen
+	case c.phase == callerIdle, c.phase == callerReading && stood >= soonRead:
+		return stuck
+	}
+	return inUse
 }
 
 func (s *State) asked(ev CallerAsked) {
--- a/internal/proxystate/model_test.go
+++ b/internal/proxystate/model_test.go
@@ -479,19 +479,30 @@
 	}
 }
 
-// TestRoomIsMadeBySilentCallers guards against callers who only connect pushing out the others.
-func TestRoomIsMadeBySilentCallers(t *testing.T) {
+// TestRoomIsMade guards against legs that nobody uses crowding out the others: silent ones go
+// first, then those idle longest, from half the cap on; one that has just come in stays.
+func TestRoomIsMade(t *testing.T) {
 	m, c := started(t)
 	m.step(HopWritten{1, true})
 	m.end(1, lg.OK, true)
 	delete(m.writing, c.leg)
 	m.callers[c.leg] = nil
 	m.step(CallerWritten{c.leg, true})
-	for leg := LegID(2); leg < 40; leg++ {
+	half := LegID(m.s.cfg.MaxCallers / 2)
+	for leg := LegID(2); leg <= half; leg++ {
 		m.open(leg)
+		m.now += ms
 	}
-	if _, there := m.callers[c.leg]; !there || len(m.callers) != m.s.cfg.MaxCallers {
-		t.Errorf("kept %t among %d legs", there, len(m.callers))
+	m.pass(soonAsked)
+	m.open(half + 1)
+	if _, silent := m.callers[2]; silent || m.s.callers[c.leg] == nil || LegID(len(m.callers)) != half {
+		t.Errorf("kept a silent leg %t among %d", silent, len(m.callers))
+	}
+	for leg := half + 2; m.s.callers[c.leg] != nil && leg < 40; leg++ {
+		m.open(leg)
+	}
+	if m.s.callers[half+1] == nil || m.s.callers[c.leg] != nil {
+		t.Error("a leg that has just come in made room for others")
 	}
 }
 
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -12,6 +12,8 @@
 	sweepEvery = 250 * time.Millisecond
 	askWithin  = 2 * time.Second         // a new leg that has sent nothing by then is closed
 	readWithin = 2500 * time.Millisecond // a request must come whole, the first counted from its leg's start
+	soonAsked  = 250 * time.Millisecond  // callers who mean to ask have begun by then,
+	soonRead   = time.Second             // and are through with it by then
 	idleWithin = 10 * time.Second        // a leg that is idle longer is closed
 	takeWithin = 10 * time.Second        // an answer that its caller doesn't read is given up
 	partWithin = time.Second             // a leg whose sending has ended is closed at the latest
