Bar a server from a class that it fails or turns away, and let single tries end it

A trace of outcomes by server and class: six of twelve servers turn away 60 to 85 in 100 uploads at one to three requests in work, and no edit. Full answers came back 25 ms later each, and used up the stock of retries, so that uploads were refused. At fault: judge() kept one count for all classes, which the other class's answers halved each time. Ruled out: queues (a mean of two in work), cold servers, connection caps (96 legs in all).

Now each server has a standing by class: two failures not outweighed bar it, for a wait that doubles; one request at a time tries again. Barred servers are still better than none.

--- a/balancer.go
+++ b/balancer.go
@@ -32,6 +32,7 @@
 	kindGain    = 0.003                  // and in the speed of all servers of its kind
 	fitGain     = 0.01                   // weight of one answer in the fleet's fit of latency to load
 	failRun     = 3.0                    // failures in a row that set a server aside
+	classRun    = 2.0                    // and that bar it from a class
 	firstWait   = 500 * time.Millisecond // wait before the first trial of such a server; doubles,
 	longestWait = 16 * time.Second       // up to this
 	retryShare  = 0.2                    // retries earned by each request, so that load never multiplies
@@ -248,8 +249,11 @@
 
 // Choosing.
 
-// may tells whether r may be sent to s at all now.
-func (b *Balancer) may(s *server, r *request) bool {
+// may tells whether r may be sent to s at all now; a bar from its class is heeded if so asked.
+func (b *Balancer) may(s *server, r *request, bars bool) bool {
+	if c := &s.classes[r.Class]; bars && c.fails >= classRun && b.now < c.until {
+		return false
+	}
 	if s.State != Ready || s.aside && !b.noneUp || slices.Contains(r.tried, s) {
 		return false
 	}
@@ -278,7 +282,7 @@
 	var away *server
 	for j := range bits.Len(uint(len(b.ranges))) - 1 + extraFuncs {
 		s := b.hit(j, r.key)
-		if s == nil || s == away || !b.may(s, r) || b.slowness(s, b.inFlight(s)+1) > bound {
+		if s == nil || s == away || !b.may(s, r, true) || b.slowness(s, b.inFlight(s)+1) > bound {
 			continue
 		}
 		if skip--; skip >= 0 {
@@ -295,10 +299,16 @@
 		return away
 	}
 	var best *server
-	most := math.Inf(-1)
-	for _, s := range b.order {
-		if left := s.base / (1 + b.inFlight(s)/max(1e-9, s.base*b.meanLoad)); left > most && b.may(s, r) {
-			best, most = s, left
+	for _, bars := range []bool{true, false} { // barred servers are better than none
+		most := math.Inf(-1)
+		for _, s := range b.order {
+			left := s.base / (1 + b.inFlight(s)/max(1e-9, s.base*b.meanLoad))
+			if left > most && b.may(s, r, bars) {
+				best, most = s, left
+			}
+		}
+		if best != nil {
+			break
 		}
 	}
 	return best
@@ -417,6 +427,9 @@
 	}
 	r.tried, r.loads = append(r.tried, s), append(r.loads, held/s.Weight)
 	r.sentAt = b.now
+	if c := &s.classes[r.Class]; c.fails >= classRun {
+		c.until = b.now + c.wait // one at a time tries whether it is over
+	}
 	r.out++
 	s.out++
 	s.pending++
@@ -486,9 +499,11 @@
 
 // judge sets s aside after a run of failures, and takes it back on its first answer.
 func (b *Balancer) judge(s *server, r *request, ev Outcome) {
+	c := &s.classes[r.Class]
 	switch ev.Result {
 	case OK:
 		s.okAt = b.now
+		c.fails, c.wait = c.fails/2, c.wait/2
 		s.fails /= 2
 		if s.aside {
 			s.aside, s.fails, s.wait = false, 0, 0
@@ -506,6 +521,12 @@
 		if held := b.holds(s, ev.Latency.Seconds()/r.work); ev.Result == TimedOut && s.reported {
 			s.load, s.loadAt = max(b.inFlight(s), min(2*b.inFlight(s), held)), b.now
 		}
+		// Guards against a server that fails or turns away one class and serves the others: their
+		// answers would speak for it.
+		if c.fails++; c.fails >= classRun && ev.Result != ConnectFailed {
+			c.wait = min(max(firstWait, 2*c.wait), longestWait)
+			c.until = b.now + c.wait/2 + b.jitter(c.wait/2)
+		}
 		if s.fails++; s.fails < failRun || !s.aside && 3*b.asides() > len(b.order) {
 			return // with a third of the fleet set aside it is overload, not loss
 		}
@@ -586,6 +607,7 @@
 			// A process that has just started is cold: its budget starts empty, in debt by
 			// a part of a request that differs between proxies, so they do not all send one.
 			s.reported, s.aside, s.fails, s.wait = false, false, 0, 0
+			clear(s.classes)
 			s.purse = -b.uniform() * b.works[0].y
 		}
 		if s.Server = l; !(l.Weight > 0 && l.Weight < math.MaxFloat32) {
--- a/state.go
+++ b/state.go
@@ -21,6 +21,7 @@
 	pending  float64 // attempts sent since that report
 	out      int     // own attempts outstanding
 	fails    float64 // failures not yet outweighed by answers
+	classes  []standing
 	aside    bool
 	trialAt  time.Duration
 	wait     time.Duration
@@ -28,6 +29,13 @@
 	purse    float64       // work that this proxy may send it while it is cold
 }
 
+// standing is what the attempts of one class say of a server.
+type standing struct {
+	fails float64 // as a server's
+	wait  time.Duration
+	until time.Duration // barred until then
+}
+
 // request is a request not yet answered, or with attempts still out.
 type request struct {
 	Request
@@ -211,7 +219,7 @@
 
 // enlist makes room for a server that is new, in the order of ids.
 func (b *Balancer) enlist(id ServerID) *server {
-	s := &server{speed: 1, Server: Server{Weight: 1}}
+	s := &server{speed: 1, Server: Server{Weight: 1}, classes: make([]standing, len(b.set.Classes))}
 	b.servers[id] = s
 	at, _ := slices.BinarySearchFunc(b.order, id, func(s *server, id ServerID) int {
 		return cmp.Compare(s.ID, id)
