--- a/balancer.go
+++ b/balancer.go
@@ -169,7 +169,8 @@
 	return s.Weight * b.usual * (slow*s.speed*b.cold(s) - (1 - loadPart)) / loadPart
 }
 
-// capacity is what the sieve gives s: its base, lowered by the reported in-flight count.
+// capacity is what the sieve gives s: its base, lowered by the mean of the in-flight counts that
+// it lately reported. A single one is mostly chance, and would move keys back and forth.
 func (b *Balancer) capacity(s *server) float64 {
 	if s.State != Ready || s.aside && !b.noneUp {
 		return 0
@@ -177,7 +178,7 @@
 	if b.noneUp || !s.reported || b.now-s.loadAt > staleAfter || b.meanLoad <= 0 {
 		return s.base
 	}
-	return s.base * max(0, 1-b.inFlight(s)/s.base/b.meanLoad/loadSpan)
+	return s.base * max(0, 1-s.usual/s.base/b.meanLoad/loadSpan)
 }
 
 // tally renews the means over the fleet and what is measured out by time.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -584,3 +584,33 @@
 		t.Errorf("tried %d times after the wait, want once", again)
 	}
 }
+
+// TestOneReportMovesNoKeys guards against capacities that follow chance: keys would move to
+// servers that have not met them, and back at the next refresh.
+func TestOneReportMovesNoKeys(t *testing.T) {
+	p := newProxy(t, testSettings(), 1, fleet(4)...)
+	say := func(s *server, n float64) { p.b.report(s, LoadReport{N: 1, Values: [4]float64{n}}) }
+	for range 50 {
+		p.now += 100 * ms
+		for _, s := range p.b.order {
+			p.b.now = p.now
+			say(s, 2)
+		}
+		p.do(Timer{Token: tickToken})
+	}
+	s := p.b.order[0]
+	usual := p.b.capacity(s)
+	p.now += 100 * ms
+	p.b.now = p.now
+	if say(s, 8); p.b.capacity(s) < 0.8*usual {
+		t.Errorf("capacity %v after one report of four times the load, %v before", p.b.capacity(s), usual)
+	}
+	for range 50 {
+		p.now += 100 * ms
+		p.b.now = p.now
+		say(s, 8)
+	}
+	if p.b.capacity(s) > 0.5*usual {
+		t.Errorf("capacity %v after five seconds of it", p.b.capacity(s))
+	}
+}
--- a/internal/legs/legs_test.go
+++ b/internal/legs/legs_test.go
@@ -179,6 +179,7 @@
 	tests := map[string]lg.LoadReport{
 		"latency_ms=12.5,inflight=7":       {N: 2, Values: [4]float64{7, 12.5}},
 		"inflight=7, latency_ms=12, new=1": {N: 2, Values: [4]float64{7, 12}},
+		"rif=7.25,lat_ms=12":               {N: 2, Values: [4]float64{7.25, 12}}, // as the settings name them
 		"inflight=7":                       {},
 		"inflight=many,latency_ms=1":       {},
 		"":                                 {},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"time"
 
@@ -81,11 +82,13 @@
 		"lat_ms": lg.LoadLatency, "rate": lg.LoadRate, "fail_rate": lg.LoadErrors}
 )
 
-// LoadFields are the names of load values as servers report them. The settings use others
-// for the same values.
+// LoadFields are the names of load values as servers report them: some by the names that the
+// protocol's page gives, some by those of the settings.
 var LoadFields = map[string]lg.LoadField{"inflight": lg.LoadInFlight, "queue": lg.LoadQueue,
 	"util": lg.LoadUtil, "latency_ms": lg.LoadLatency, "qps": lg.LoadRate, "eps": lg.LoadErrors}
 
+func init() { maps.Copy(LoadFields, fields) }
+
 // maxMillis is some thirty years: no clock, delay or setting comes near it.
 const maxMillis = 1e12
 
--- a/state.go
+++ b/state.go
@@ -18,6 +18,7 @@
 	reported bool
 	load     float64 // last reported in-flight count
 	loadAt   time.Duration
+	usual    float64 // mean of the reported counts over about an interval
 	pending  float64 // attempts sent since that report
 	out      int     // own attempts outstanding
 	fails    float64 // failures not yet outweighed by answers
@@ -251,6 +252,10 @@
 func (b *Balancer) report(s *server, load LoadReport) {
 	for i := range min(load.N, len(b.set.Report)) {
 		if v := load.Values[i]; b.set.Report[i] == LoadInFlight && v >= 0 && !math.IsInf(v, 0) {
+			if !s.reported {
+				s.usual = v
+			}
+			s.usual += (v - s.usual) * -math.Expm1(-(b.now-s.loadAt).Seconds()/interval.Seconds())
 			s.load, s.loadAt, s.reported, s.pending, b.reported = v, b.now, true, 0, b.now
 		}
 	}
