Bar a server from a class that it never answers

All of them are edits: some servers answer no edit while they serve uploads. judge() ignored those time-outs, since the server had answered since, if only another class.

A time-out now counts against the class when no answer of that class has come since it was sent. The test covers it beside what is turned away, and fails without it.

--- a/balancer.go
+++ b/balancer.go
@@ -501,10 +501,10 @@
 
 // judge sets s aside after a run of failures, and takes it back on its first answer.
 func (b *Balancer) judge(s *server, r *request, ev Outcome) {
-	c := &s.classes[r.Class]
+	c, sent := &s.classes[r.Class], b.now-ev.Latency
 	switch ev.Result {
 	case OK:
-		s.okAt = b.now
+		s.okAt, c.okAt = b.now, b.now
 		c.fails, c.wait = c.fails/2, c.wait/2
 		s.fails /= 2
 		if s.aside {
@@ -513,8 +513,15 @@
 			b.logf("server %x is back", uint64(s.ID))
 		}
 	case ServerError, TimedOut, ConnectFailed, Reset, Full:
+		// Guards against a server that fails, turns away or never answers one class and serves the
+		// others: their answers would speak for it.
+		if ev.Result == Full || ev.Result == ServerError || ev.Result == TimedOut && c.okAt < sent {
+			c.fails++
+			c.wait = min(max(firstWait, 2*c.wait), longestWait)
+			c.until = b.now + c.wait/2 + b.jitter(c.wait/2)
+		}
 		// A time-out says nothing of a server that has answered since: it is only slow.
-		if ev.Result == TimedOut && s.okAt >= b.now-ev.Latency {
+		if ev.Result == TimedOut && s.okAt >= sent {
 			return
 		}
 		// Attempts that time out bring no report: guards against judging a jammed fleet by the
@@ -523,13 +530,6 @@
 		if held := b.holds(s, ev.Latency.Seconds()/r.work); ev.Result == TimedOut && s.reported {
 			s.load, s.loadAt = max(b.inFlight(s), min(2*b.inFlight(s), held)), b.now
 		}
-		// Guards against a server that fails or turns away one class and serves the others: their
-		// answers would speak for it.
-		if ev.Result == Full || ev.Result == ServerError {
-			c.fails++
-			c.wait = min(max(firstWait, 2*c.wait), longestWait)
-			c.until = b.now + c.wait/2 + b.jitter(c.wait/2)
-		}
 		if s.fails++; s.fails < failRun || !s.aside && 3*b.asides() > len(b.order) {
 			return // with a third of the fleet set aside it is overload, not loss
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -551,37 +551,44 @@
 	}
 }
 
-// TestBarFromOneClass guards against a server that turns away one class and serves the others,
-// whose answers spoke for it: it gets no more of that class but one try after each wait.
+// TestBarFromOneClass guards against a server that turns away, or never answers, one class and
+// serves the others, whose answers spoke for it: it gets no more of that class but one try after
+// each wait.
 func TestBarFromOneClass(t *testing.T) {
-	p := newProxy(t, testSettings(), 1, fleet(4)...)
-	odd, id, shut := p.b.order[0].ID, RequestID(0), 0
-	send := func(class, n int) (got int) {
-		for range n {
-			id++
-			a := p.one(Send, Request{ID: id, Class: class, Budget: time.Second})
-			for try := 0; a.Server == odd && class == 4; try++ {
-				got++
-				a = p.one(Send, Outcome{Request: id, Attempt: try, Server: odd, Result: Full})
-			}
-			p.do(Outcome{Request: id, Attempt: len(p.b.requests[id].tried) - 1, Server: a.Server, Result: OK,
-				Closed: true, Latency: ms})
-			if class != 4 && a.Server == odd {
-				got++
+	for res, do := range map[Result]Do{Full: Send, TimedOut: Fail} {
+		p := newProxy(t, testSettings(), 1, fleet(4)...)
+		odd, id := p.b.order[0].ID, RequestID(0)
+		send := func(class, n int) (got int) {
+			for range n {
+				id++
+				a := p.one(Send, Request{ID: id, Class: class, Budget: time.Second})
+				out := Outcome{Request: id, Server: a.Server, Result: OK, Closed: true, Latency: ms}
+				if a.Server == odd {
+					got++
+				}
+				if p.now += ms; a.Server == odd && class == 4 {
+					out.Result, out.Closed = res, false
+					if a = p.one(do, out); do == Send {
+						p.do(Departed{Request: id})
+						out = Outcome{Request: id, Attempt: 1, Server: a.Server, Result: OK, Closed: true}
+					}
+				}
+				p.do(out)
 			}
+			return got
+		}
+		shut := 0
+		for range 20 {
+			send(0, 5)
+			shut += send(4, 5)
+		}
+		if open := send(0, 100); shut > classRun || open < 10 {
+			t.Errorf("result %d: asked %d times for what it does not do, and %d of 100 for the rest", res, shut, open)
+		}
+		p.now += longestWait
+		if again := send(4, 100); again != 1 {
+			t.Errorf("result %d: tried %d times after the wait, want once", res, again)
 		}
-		return got
-	}
-	for range 20 {
-		send(0, 5)
-		shut += send(4, 5)
-	}
-	if open := send(0, 100); shut > classRun || open < 10 {
-		t.Errorf("asked %d times for what it turns away, and %d of 100 times for the rest", shut, open)
-	}
-	p.now += longestWait
-	if again := send(4, 100); again != 1 {
-		t.Errorf("tried %d times after the wait, want once", again)
 	}
 }
 
--- a/state.go
+++ b/state.go
@@ -35,6 +35,7 @@
 	fails float64 // as a server's
 	wait  time.Duration
 	until time.Duration // barred until then
+	okAt  time.Duration // its last answer
 }
 
 // request is a request not yet answered, or with attempts still out.
