Settle between proxies which machine goes out for work: the pure parts and their plays

Nothing of it was there. Change: docs/work-order.md has promise, faults and options. workorder is the state machine over an agreed log (go.etcd.io/raft/v3's pure core in agree, kept in bbolt), council one proxy's leases and calls, holds what a proxy may send to, members whom it has heard; workplay plays them in virtual time with faults from a seed. Not linked into the proxy yet.

--- /dev/null
+++ b/internal/agree/disk.go
@@ -0,0 +1,241 @@
+package agree
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"go.etcd.io/bbolt"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// Names in the file.
+var (
+	bucketLog  = []byte("log")
+	bucketMeta = []byte("meta")
+	keyID      = []byte("id")
+	keyBoot    = []byte("boot")
+	keyHard    = []byte("hard")
+	keySnap    = []byte("snap")
+	keyNote    = []byte("note")
+)
+
+const diskFile = "peers.db"
+
+// lockFor is how long another process that holds the file is waited for.
+const lockFor = 2 * time.Second
+
+// Disk keeps what a proxy must remember between its starts. One process at a time has it open.
+type Disk struct {
+	db    *bbolt.DB
+	path  string
+	ID    uint64 // the identity as a voter; a disk that was lost or damaged gets a new one
+	Boot  uint64 // counts the starts
+	Fresh string // why it begins anew; empty: it goes on
+	Saved Saved
+	Note  []byte // what the council keeps besides
+}
+
+// OpenDisk opens the file in a folder, or begins a new one where there is none. A file that can't be read
+// through is set aside: its identity must not vote again.
+func OpenDisk(dir string) (*Disk, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, diskFile)
+	fresh := ""
+	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
+		fresh = "there was no file"
+	}
+	d, err := readDisk(path)
+	if err != nil && errors.Is(err, bbolt.ErrTimeout) {
+		return nil, fmt.Errorf("%s: another process has it open", path)
+	}
+	if err != nil && fresh == "" {
+		fresh = err.Error()
+		aside := fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano())
+		if err := os.Rename(path, aside); err != nil {
+			return nil, err
+		}
+		d, err = readDisk(path)
+	}
+	if err != nil {
+		return nil, err
+	}
+	d.path, d.Fresh = path, fresh
+	return d, nil
+}
+
+// readDisk opens a file and reads all of it.
+func readDisk(path string) (d *Disk, err error) {
+	var db *bbolt.DB
+	// Guards against a file that was cut short: the library reads it by the memory map, where that is a fault.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("damaged: %v", r)
+		}
+		if err != nil && db != nil {
+			_ = db.Close()
+		}
+	}()
+	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockFor, FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		return nil, err
+	}
+	d = &Disk{db: db}
+	if err := db.View(func(tx *bbolt.Tx) error {
+		if size := tx.Size(); size > 0 {
+			if st, err := os.Stat(path); err != nil || st.Size() < size {
+				return fmt.Errorf("cut short: %d bytes should be there (%v)", size, err)
+			}
+		}
+		for err := range tx.Check() {
+			return err
+		}
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	return d, db.Update(func(tx *bbolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
+		if err != nil {
+			return err
+		}
+		entries, err := tx.CreateBucketIfNotExists(bucketLog)
+		if err != nil {
+			return err
+		}
+		if d.ID = number(meta.Get(keyID)); d.ID == 0 {
+			d.ID = rand.Uint64()>>1 + 1 // the highest ones are the library's
+		}
+		d.Boot = number(meta.Get(keyBoot)) + 1
+		if err := errors.Join(meta.Put(keyID, bytesOf(d.ID)), meta.Put(keyBoot, bytesOf(d.Boot))); err != nil {
+			return err
+		}
+		d.Note = slices.Clone(meta.Get(keyNote))
+		return d.load(meta, entries)
+	})
+}
+
+// load reads what is saved of the log.
+func (d *Disk) load(meta, entries *bbolt.Bucket) error {
+	if raw := meta.Get(keyHard); raw != nil {
+		d.Saved.Hard = new(pb.HardState)
+		if err := proto.Unmarshal(raw, d.Saved.Hard); err != nil {
+			return err
+		}
+	}
+	if raw := meta.Get(keySnap); raw != nil {
+		d.Saved.Snap = new(pb.Snapshot)
+		if err := proto.Unmarshal(raw, d.Saved.Snap); err != nil {
+			return err
+		}
+	}
+	return entries.ForEach(func(k, v []byte) error {
+		e := new(pb.Entry)
+		if err := proto.Unmarshal(v, e); err != nil {
+			return err
+		}
+		if e.GetIndex() != number(k) {
+			return fmt.Errorf("entry %d stands at %d", e.GetIndex(), number(k))
+		}
+		d.Saved.Entries = append(d.Saved.Entries, e)
+		return nil
+	})
+}
+
+// Write puts a write on the disk; when it returns without an error, it is there for good.
+func (d *Disk) Write(w *Write) error {
+	return d.db.Update(func(tx *bbolt.Tx) error {
+		meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
+		if w.Hard != nil {
+			if err := put(meta, keyHard, w.Hard); err != nil {
+				return err
+			}
+		}
+		if w.Snap != nil {
+			if err := put(meta, keySnap, w.Snap); err != nil {
+				return err
+			}
+		}
+		if w.First > 0 {
+			if err := remove(entries, 0, w.First-1); err != nil {
+				return err
+			}
+		}
+		if len(w.Entries) > 0 {
+			if err := remove(entries, w.Entries[0].GetIndex(), ^uint64(0)); err != nil {
+				return err
+			}
+		}
+		for _, e := range w.Entries {
+			if err := put(entries, bytesOf(e.GetIndex()), e); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Keep writes what the council keeps besides the log.
+func (d *Disk) Keep(note []byte) error {
+	return d.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyNote, note) })
+}
+
+// Close gives the file up.
+func (d *Disk) Close() error { return d.db.Close() }
+
+// Again closes the file and opens it as it is, after a write that failed.
+func (d *Disk) Again() (*Disk, error) {
+	_ = d.db.Close()
+	return OpenDisk(filepath.Dir(d.path))
+}
+
+// Renew sets the file aside and begins anew, under a new identity.
+func (d *Disk) Renew(why string) (*Disk, error) {
+	_ = d.db.Close()
+	if err := os.Rename(d.path, fmt.Sprintf("%s.retired-%d", d.path, time.Now().UnixNano())); err != nil {
+		return nil, err
+	}
+	n, err := OpenDisk(filepath.Dir(d.path))
+	if err == nil {
+		n.Fresh = why
+	}
+	return n, err
+}
+
+func put(b *bbolt.Bucket, key []byte, m proto.Message) error {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return b.Put(key, raw)
+}
+
+// remove takes out the entries from one index to another.
+func remove(b *bbolt.Bucket, from, to uint64) error {
+	c := b.Cursor()
+	for k, _ := c.Seek(bytesOf(from)); k != nil && number(k) <= to; k, _ = c.Seek(bytesOf(from)) {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func number(b []byte) uint64 {
+	if len(b) != 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(b)
+}
+
+func bytesOf(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
--- /dev/null
+++ b/internal/workorder/next.go
@@ -0,0 +1,185 @@
+package workorder
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Seen is what a leader knows of one machine.
+type Seen struct {
+	Machine
+	Ready bool // discovery lists it as ready
+	Sick  bool // most proxies that tell avoid it
+}
+
+// View is what a leader knows of the fleet. What it does not know for sure is left out.
+type View struct {
+	Now       time.Duration
+	Machines  map[string]Seen
+	Listed    time.Duration         // when discovery was last heard
+	Refused   float64               // part of the requests lately that the proxies refused
+	Expired   func(key string) bool // the party's lease has surely run out, and the longest deadline since
+	Since     map[string]time.Duration
+	WarmAfter time.Duration
+}
+
+// Figures of the choice.
+const (
+	listOld     = 30 * time.Second // nothing is granted by a list that is older
+	refusesMuch = 0.01             // nothing is granted while this part of the requests is refused
+	refusesMost = 0.05             // and what is not free yet is given back
+)
+
+// Blocked says why nothing can be granted now, "" if something may be.
+func (s *State) Blocked(v View) string {
+	switch {
+	case v.Now-v.Listed > listOld:
+		return "the list of machines is old: discovery has not been heard"
+	case v.Refused >= refusesMuch:
+		return "the proxies refuse requests: no room"
+	}
+	return ""
+}
+
+// fact is what staying without a machine would leave.
+func (s *State) fact(w *Work, v View) *Fact {
+	f := &Fact{}
+	for id, m := range v.Machines {
+		a := s.Active(id)
+		if id == w.Machine.ID || !m.Ready || m.Sick || a != nil && a.Step.gone() {
+			continue
+		}
+		f.Left += weight(m.Machine)
+		if m.Zone == w.Machine.Zone {
+			f.ZoneLeft++
+		}
+	}
+	return f
+}
+
+func weight(m Machine) float64 {
+	if m.Weight > 0 {
+		return m.Weight
+	}
+	return 1
+}
+
+// Fleet is the weight of the machines in service.
+func (v View) Fleet() (sum float64) {
+	for _, m := range v.Machines {
+		if m.Ready {
+			sum += weight(m.Machine)
+		}
+	}
+	return sum
+}
+
+// Next is what a leader proposes next, Kind Nothing if there is nothing to do. Sick machines go first, then
+// zones take turns; what came first in its order breaks ties, so that the same facts give the same choice.
+func (s *State) Next(v View) Command {
+	for _, w := range s.Works {
+		since := v.Now - v.Since[w.Machine.ID]
+		m, listed := v.Machines[w.Machine.ID]
+		o := s.Order(w.Order)
+		if o == nil {
+			continue
+		}
+		switch w.Step {
+		case Granted, Draining:
+			var expired []string
+			for _, p := range s.sorted() {
+				if !w.Clear[p.Key()] && v.Expired(p.Key()) {
+					expired = append(expired, p.Key())
+				}
+			}
+			if s.Holding(w, expired) == "" {
+				return Command{Kind: SetFree, Machine: w.Machine.ID, Index: w.Granted, Expired: expired}
+			}
+			if v.Refused >= refusesMost {
+				return Command{Kind: GiveBack, Machine: w.Machine.ID, Index: w.Granted, Why: "its room is needed"}
+			}
+		case Free, Out:
+			anew := listed && m.Ready && m.Started > w.Machine.Started
+			if anew && !o.Said {
+				return Command{Kind: Return, Machine: w.Machine.ID, Why: "it has started anew"}
+			}
+			if o.OutFor > 0 && since > o.OutFor {
+				return Command{Kind: Fail, Machine: w.Machine.ID, Why: "it is out for longer than the order allows"}
+			}
+		case Returning:
+			if listed && m.Ready && since >= v.WarmAfter {
+				return Command{Kind: SetDone, Machine: w.Machine.ID}
+			}
+		}
+	}
+	for _, p := range s.sorted() {
+		if p.Gone && v.Expired(p.Key()) {
+			return Command{Kind: Bury, Name: p.Name, Inc: p.Inc}
+		}
+	}
+	if s.Blocked(v) != "" {
+		return Command{}
+	}
+	for _, w := range s.choice(v) {
+		if f := s.fact(w, v); s.May(w, f) == nil {
+			return Command{Kind: Grant, Machine: w.Machine.ID, Fact: f}
+		}
+	}
+	return Command{}
+}
+
+// choice lists the waiting machines, the one that should go first first.
+func (s *State) choice(v View) []*Work {
+	var waiting []*Work
+	var zones []string
+	for _, w := range s.Works {
+		if w.Step == Waiting {
+			waiting = append(waiting, w)
+			zones = append(zones, w.Machine.Zone)
+		}
+	}
+	slices.Sort(zones)
+	zones = slices.Compact(zones)
+	turn := func(zone string) int { // zones behind the last one come first
+		i, _ := slices.BinarySearch(zones, zone)
+		at, found := slices.BinarySearch(zones, s.Turn)
+		if found {
+			at++
+		}
+		return (i - at + len(zones)) % max(1, len(zones))
+	}
+	rank := func(w *Work) int {
+		if v.Machines[w.Machine.ID].Sick {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(waiting, func(a, b *Work) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(turn(a.Machine.Zone), turn(b.Machine.Zone)))
+	})
+	return waiting
+}
+
+// Waits says why a machine does not go on, "" if nothing holds it.
+func (s *State) Waits(w *Work, v View) string {
+	switch w.Step {
+	case Waiting:
+		if why := s.Blocked(v); why != "" {
+			return why
+		}
+		if err := s.May(w, s.fact(w, v)); err != nil {
+			return err.Error()
+		}
+	case Granted, Draining:
+		if key := s.Holding(w, nil); key != "" {
+			return fmt.Sprintf("proxy %s has not said that it has nothing there, and its lease may still run", key)
+		}
+	case Free, Out, Returning:
+		if m, ok := v.Machines[w.Machine.ID]; !ok || !m.Ready {
+			return "discovery does not list it as ready"
+		}
+	}
+	return w.Why
+}
--- /dev/null
+++ b/internal/workorder/spec.go
@@ -0,0 +1,74 @@
+package workorder
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Spec is an order as staff word it: machines by id, zone or model, or all.
+type Spec struct {
+	ID       string        `json:"id" yaml:"id" cbor:"1,keyasint"`
+	Machines []string      `json:"machines,omitempty" yaml:"machines" cbor:"2,keyasint,omitempty"`
+	Zones    []string      `json:"zones,omitempty" yaml:"zones" cbor:"3,keyasint,omitempty"`
+	Models   []string      `json:"models,omitempty" yaml:"models" cbor:"4,keyasint,omitempty"`
+	All      bool          `json:"all,omitempty" yaml:"all" cbor:"5,keyasint,omitempty"`
+	Most     int           `json:"most" yaml:"most" cbor:"6,keyasint"`
+	MostZone int           `json:"most-zone,omitempty" yaml:"most-zone" cbor:"7,keyasint,omitempty"`
+	MostKind int           `json:"most-model,omitempty" yaml:"most-model" cbor:"8,keyasint,omitempty"`
+	Keep     float64       `json:"keep" yaml:"keep" cbor:"9,keyasint"`
+	OutFor   time.Duration `json:"out-for,omitempty" yaml:"out-for" cbor:"10,keyasint,omitempty"`
+	Done     string        `json:"done,omitempty" yaml:"done" cbor:"11,keyasint,omitempty"` // restart or said
+}
+
+// maxMachines bounds the machines of one order.
+const maxMachines = 512
+
+// Resolve makes an order of what staff want, by the machines that the leader knows. An error names the key.
+func (sp Spec) Resolve(v View) (*Order, error) {
+	o := &Order{ID: sp.ID, Most: sp.Most, MostZone: sp.MostZone, MostKind: sp.MostKind, Keep: sp.Keep,
+		Fleet: v.Fleet(), OutFor: sp.OutFor, Said: sp.Done == "said"}
+	if sp.Done != "" && sp.Done != "said" && sp.Done != "restart" {
+		return nil, fmt.Errorf("done: %q, want restart or said", sp.Done)
+	}
+	if len(v.Machines) == 0 {
+		return nil, fmt.Errorf("machines: the list of machines is not known yet")
+	}
+	zones, kinds := map[string]bool{}, map[string]bool{}
+	var ids []string
+	for id, m := range v.Machines {
+		zones[m.Zone], kinds[m.Kind] = true, true
+		if sp.All || slices.Contains(sp.Zones, m.Zone) || slices.Contains(sp.Models, m.Kind) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for i, id := range sp.Machines {
+		if _, ok := v.Machines[id]; !ok {
+			return nil, fmt.Errorf("machines[%d]: %q is not listed", i, id)
+		}
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	for i, z := range sp.Zones {
+		if !zones[z] {
+			return nil, fmt.Errorf("zones[%d]: %q has no machine", i, z)
+		}
+	}
+	for i, k := range sp.Models {
+		if !kinds[k] {
+			return nil, fmt.Errorf("models[%d]: %q has no machine", i, k)
+		}
+	}
+	if len(ids) > maxMachines {
+		return nil, fmt.Errorf("machines: %d, at most %d in one order", len(ids), maxMachines)
+	}
+	if sp.Most > len(v.Machines) {
+		return nil, fmt.Errorf("most: %d of %d machines", sp.Most, len(v.Machines))
+	}
+	for _, id := range ids {
+		o.Machines = append(o.Machines, v.Machines[id].Machine)
+	}
+	return o, o.check()
+}
