Carry out an order for work over real proxies that talk to each other, the leader killed once

Need: a machine that is told free must really be free, with several real processes and faults between them. Change: the reducer takes what the proxies settled as drains (proxystate/work.go), looks at its lease before each event and cuts what is left after the longest deadline; peers has the sockets (protodelim frames of CBOR) and the disk; 'lilacglade work' and the admin call WORK ask for orders; faults is the rig: relays by direction, signals, stand-ins, steps tied to what was observed, the judge of the plays.

--- a/cmd/lilacglade/main.go
+++ b/cmd/lilacglade/main.go
@@ -14,17 +14,18 @@
 	"github.com/spf13/pflag"
 
 	"lilacglade/internal/legs"
-	"lilacglade/internal/proxystate"
+	"lilacglade/internal/peers"
 	"lilacglade/internal/settings"
 )
 
 // version is the release; a build may set another with -ldflags "-X main.version=...".
 var version = "0.1.0"
 
-const usage = `usage: lilacglade [serve|check|version] [flags]
+const usage = `usage: lilacglade [serve|check|version|work ...] [flags]
 
   serve    run the proxy until SIGTERM (the default)
   check    read the configuration, say whether it can be served, and end
+  work     have machines taken out for work; "work help" says how
   version  print the version
 
 flags:
@@ -43,7 +44,9 @@
 func run(args []string, out io.Writer) error {
 	flags := pflag.NewFlagSet("lilacglade", pflag.ContinueOnError)
 	config := flags.StringP("config", "c", "", "configuration file (default: the one that NODE_CONFIG names)")
+	peersFile := flags.String("peers", os.Getenv("NODE_PEERS"), "file of the proxies that this one may talk to")
 	trace := flags.Bool("trace", false, "log each step of each request and connection (costs processor time)")
+	flags.SetInterspersed(len(args) == 0 || args[0] != "work")
 	flags.Usage = func() { fmt.Fprint(out, usage, flags.FlagUsages()) }
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -52,6 +55,9 @@
 	if flags.NArg() > 0 {
 		command = flags.Arg(0)
 	}
+	if command == "work" {
+		return work(flags.Args()[1:], out)
+	}
 	if flags.NArg() > 1 {
 		return fmt.Errorf("%s: unexpected argument %q", command, flags.Arg(1))
 	}
@@ -75,17 +81,24 @@
 	if err != nil {
 		return err
 	}
+	options := legs.Options{}
+	if *peersFile != "" {
+		cfg, err := peers.Load(*peersFile, node.Name)
+		if err != nil {
+			return err
+		}
+		options.Peers = &cfg
+	}
 	if command == "check" {
 		fmt.Fprintf(out, "%s can be served on %s\n", node.Name, node.Listen)
 		return nil
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	var tracer proxystate.Tracer
 	if *trace {
-		tracer = func(line string) { log.Print(line) }
+		options.Trace = func(line string) { log.Print(line) }
 	}
-	return legs.Serve(ctx, node, reloads(hups, getenv, node), tracer)
+	return legs.ServeBy(ctx, node, reloads(hups, getenv, node), options)
 }
 
 // reloads reads the configuration again at each SIGHUP. One that can't be served changes nothing.
--- /dev/null
+++ b/cmd/lilacglade/work.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"lilacglade/internal/peers"
+)
+
+const workUsage = `usage: lilacglade work [flags] status
+       lilacglade work [flags] submit FILE
+       lilacglade work [flags] pause|resume|cancel ORDER
+       lilacglade work [flags] out|back|fail MACHINE
+       lilacglade work [flags] forget PROXY
+
+  status   what stands where, and why something waits
+  submit   give an order: machines to take out, one after the other
+  pause    grant nothing more of an order; resume ends that; cancel ends the order
+  out      say that work on a free machine has begun; back, that it takes requests again; fail, that it is given up
+  forget   vouch that no process of a proxy runs any more, and none comes back with its old disk
+
+Sent again with the same --id, a call is carried out once. docs/operate/work-order.md says more.
+
+flags:
+`
+
+// workFor is how long an answer to a call is waited for.
+const workFor = 8 * time.Second
+
+// work makes an operators' call on a running proxy.
+func work(args []string, out io.Writer) error {
+	flags := pflag.NewFlagSet("lilacglade work", pflag.ContinueOnError)
+	admin := flags.String("admin", os.Getenv("NODE_ADMIN"), "where the proxy answers operators")
+	id := flags.String("id", "", "id of the call (default: a new one, which is printed)")
+	why := flags.String("why", "", "a reason, for the others")
+	flags.Usage = func() { fmt.Fprint(out, workUsage, flags.FlagUsages()) }
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if flags.Arg(0) == "help" || flags.NArg() == 0 {
+		flags.Usage()
+		return nil
+	}
+	a := peers.Action{ID: *id, Do: flags.Arg(0), Why: *why}
+	switch {
+	case a.Do == "status" && flags.NArg() == 1:
+	case flags.NArg() != 2:
+		return fmt.Errorf("work %s: want one name; see work help", a.Do)
+	case a.Do == "submit":
+		order, err := peers.ReadOrder(flags.Arg(1))
+		if err != nil {
+			return err
+		}
+		a.Order = &order
+	default:
+		a.Name = flags.Arg(1)
+	}
+	if *admin == "" {
+		return errors.New("work: --admin or NODE_ADMIN: not set")
+	}
+	if a.ID == "" {
+		a.ID = fmt.Sprintf("%x", rand.Uint64())
+		if a.Do != "status" {
+			fmt.Fprintf(out, "id %s\n", a.ID)
+		}
+	}
+	line, err := json.Marshal(a)
+	if err != nil {
+		return err
+	}
+	conn, err := net.DialTimeout("tcp", *admin, workFor)
+	if err != nil {
+		return fmt.Errorf("work: %w", err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(workFor)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(conn, "WORK %s\n", line); err != nil {
+		return fmt.Errorf("work: %w", err)
+	}
+	raw, err := io.ReadAll(conn)
+	answer := string(raw)
+	switch {
+	case strings.HasPrefix(answer, "-ERR "):
+		return errors.New(strings.TrimSpace(strings.TrimPrefix(answer, "-ERR ")))
+	case !strings.HasPrefix(answer, "+OK"):
+		return fmt.Errorf("work: no whole answer (%v); ask again with --id %s", err, a.ID)
+	}
+	if rest := strings.TrimSuffix(strings.TrimPrefix(strings.TrimPrefix(answer, "+OK"), "\n"), ".\n"); rest != "" {
+		fmt.Fprint(out, rest)
+	}
+	return nil
+}
--- a/cmd/lilalab/sockets.go
+++ b/cmd/lilalab/sockets.go
@@ -88,7 +88,7 @@
 					}
 				}
 			}()
-			return legs.ServeBy(ctx, node, reloads, decider, nil)
+			return legs.ServeBy(ctx, node, reloads, legs.Options{Decider: decider})
 		}}
 	c.Flags().StringVar(&policy, "policy", "", "the policy")
 	return c
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,6 +22,7 @@
 // What one caller, and all together, may take.
 const (
 	maxLine  = 128              // bytes of a call, its end included
+	maxWork  = 64 << 10         // of one that begins with WORK
 	maxConns = 24               // beyond, the connection that has stood longest without a whole call makes room
 	stayFor  = 6 * time.Second  // a connection that has made no whole call by then is told so and closed
 	takeFor  = 10 * time.Second // an answer that is not read is given up
@@ -28,6 +30,9 @@
 
 // Door answers operators' calls.
 type Door struct {
+	// Work answers what follows the word WORK in a call; nil: there is no such call. It may wait for other
+	// proxies, so it is owed within some seconds only. It is set before Listen.
+	Work    func(call string) []byte
 	figures atomic.Pointer[proxystate.Figures]
 
 	mu    sync.Mutex
@@ -111,22 +116,29 @@
 	g, _ := ctx.Value(guestKey{}).(*guest)
 	r := conn.Reader()
 	n := r.Len()
-	b, err := r.Next(min(n, maxLine+1))
+	most := maxLine
+	if d.Work != nil {
+		most = maxWork
+	}
+	b, err := r.Next(min(n, most+1))
 	if err == nil && !g.done {
 		g.line = append(g.line, b...)
 	}
-	if n > maxLine+1 {
-		_ = r.Skip(n - maxLine - 1)
+	if n > most+1 {
+		_ = r.Skip(n - most - 1)
 	}
 	_ = r.Release()
 	if g.done {
 		return nil
 	}
 	line, _, whole := bytes.Cut(g.line, []byte("\n"))
+	work, isWork := strings.CutPrefix(string(line), "WORK ")
 	switch {
+	case whole && isWork && d.Work != nil:
+		d.answer(g, d.Work(strings.TrimSuffix(work, "\r")))
 	case whole && len(line) < maxLine:
 		d.answer(g, Answer(string(bytes.TrimSuffix(line, []byte("\r"))), d.figures.Load()))
-	case len(g.line) > maxLine || whole:
+	case len(g.line) > most || whole || len(g.line) > maxLine && !isWork:
 		d.answer(g, []byte("-ERR the call is too long\n"))
 	}
 	return nil
--- a/internal/agree/core.go
+++ b/internal/agree/core.go
@@ -122,14 +122,16 @@
 
 // Found begins a log with this one as its only voter. The context names it.
 func (c *Core) Found(context []byte) error {
-	if err := c.raw.Bootstrap([]raft.Peer{{ID: c.id, Context: context}}); err != nil {
-		return err
-	}
-	return c.raw.Campaign()
+	return c.raw.Bootstrap([]raft.Peer{{ID: c.id, Context: context}})
 }
 
-// Tick passes one unit of time.
-func (c *Core) Tick() { c.raw.Tick() }
+// Tick passes one unit of time. Who is the only voter need not wait for others to be silent.
+func (c *Core) Tick() {
+	if v := c.conf.GetVoters(); len(v) == 1 && v[0] == c.id && c.Leader() == 0 {
+		_ = c.raw.Campaign() // else it begins with the next tick
+	}
+	c.raw.Tick()
+}
 
 // Step takes another voter's message. What makes no sense is an error and changes nothing.
 func (c *Core) Step(raw []byte) (err error) {
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -139,7 +139,11 @@
 		delete(c.lead.reads, token)
 		for _, r := range rd.waiting {
 			if r.call != nil {
-				c.reply(r.call, Answer{ID: r.call.call.ID, Done: true, Status: c.Status()})
+				a := Answer{ID: r.call.call.ID, Done: true, Status: c.Status()}
+				if r.call.call.Whole {
+					a.State = workorder.Encode(c.rep.Work)
+				}
+				c.reply(r.call, a)
 				continue
 			}
 			key := workorder.Key(r.from, r.inc)
--- a/internal/council/messages.go
+++ b/internal/council/messages.go
@@ -77,6 +77,7 @@
 	Command *workorder.Command `cbor:"2,keyasint,omitempty"`
 	Spec    *workorder.Spec    `cbor:"3,keyasint,omitempty"` // an order to be made of it
 	Status  bool               `cbor:"4,keyasint,omitempty"` // how things stand
+	Whole   bool               `cbor:"5,keyasint,omitempty"` // with Status: as the whole state, for a judge
 }
 
 // Answer ends a Call. Where neither Done nor Err is set, the sender doesn't lead.
@@ -86,6 +87,7 @@
 	Err    string `cbor:"3,keyasint,omitempty"`
 	Status string `cbor:"4,keyasint,omitempty"`
 	Leader string `cbor:"5,keyasint,omitempty"`
+	State  []byte `cbor:"6,keyasint,omitempty"` // as workorder.Encode words it
 }
 
 // founding is the context of a change of the voters.
--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -43,7 +43,8 @@
 
 // leaderOr is who leads as far as is known, or else one of those who may know, by turns.
 func (c *Council) leaderOr(turn int) (name, addr string) {
-	if c.core != nil && !c.held {
+	// Guards against asking for good who led when this one lost its vote: it hears no more of elections.
+	if c.core != nil && !c.held && slices.Contains(c.core.Voters(), c.cfg.ID) {
 		if v, ok := c.voter(c.core.Leader()); ok && c.core.Leader() != 0 {
 			return v.Name, v.Addr
 		}
--- /dev/null
+++ b/internal/faults/machine.go
@@ -0,0 +1,161 @@
+package faults
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Machine is a stand-in album server that can really be switched off. While it is off for work, whatever
+// still reaches its address is a fault: somebody was told that it is free.
+type Machine struct {
+	ID, Zone, Kind string
+	addr           string
+	fault          func(error)
+
+	mu      sync.Mutex
+	server  *http.Server
+	trip    net.Listener
+	Started int64 // Unix time in milliseconds
+	open    int   // whole requests in work
+	runs    map[string]int
+	Served  int
+	Silent  bool // takes requests and answers none
+	on      bool
+	gen     int
+}
+
+// NewMachine starts a machine at a new address.
+func NewMachine(id, zone, kind string, fault func(error)) (*Machine, error) {
+	m := &Machine{ID: id, Zone: zone, Kind: kind, fault: fault, runs: map[string]int{}, addr: "127.0.0.1:0"}
+	return m, m.On()
+}
+
+// Addr is where it listens, the same after it was off.
+func (m *Machine) Addr() string { return m.addr }
+
+// On starts it anew.
+func (m *Machine) On() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.on {
+		return nil
+	}
+	if m.trip != nil {
+		_ = m.trip.Close()
+		m.trip = nil
+	}
+	ln, err := net.Listen("tcp", m.addr)
+	if err != nil {
+		return err
+	}
+	m.addr = ln.Addr().String()
+	m.gen++
+	m.on, m.open = true, 0
+	if m.gen > 1 {
+		m.Started = time.Now().UnixMilli()
+	}
+	gen := m.gen
+	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(gen, w, r) })}
+	go m.server.Serve(ln)
+	return nil
+}
+
+func (m *Machine) serve(gen int, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // it was never whole
+	}
+	id := r.Header.Get("Request-Id")
+	m.mu.Lock()
+	m.open++
+	if m.runs[id]++; m.runs[id] > 1 && r.Header.Get("Idempotency-Key") == "" {
+		m.fault(fmt.Errorf("request %s ran twice at %s", id, m.ID))
+	}
+	n, silent := m.open, m.Silent
+	m.mu.Unlock()
+	work := 2 * time.Millisecond
+	if len(id)%7 == 0 {
+		work = 60 * time.Millisecond
+	}
+	if silent {
+		<-r.Context().Done()
+	} else {
+		time.Sleep(work)
+	}
+	m.mu.Lock()
+	if gen == m.gen {
+		m.open--
+		m.Served++
+	}
+	m.mu.Unlock()
+	w.Header().Set("Server-Load", fmt.Sprintf("inflight=%d,latency_ms=%d", n, work.Milliseconds()))
+	fmt.Fprintf(w, "%s %d", id, len(body))
+}
+
+// Runs is how often a request ran here.
+func (m *Machine) Runs(id string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runs[id]
+}
+
+// Die switches it off as a failure does: what is open is lost, and nobody is to blame.
+func (m *Machine) Die() {
+	m.mu.Lock()
+	server := m.server
+	m.on = false
+	m.gen++
+	m.mu.Unlock()
+	_ = server.Close()
+}
+
+// Off switches it off since it was told free. Nothing may be in work there, and nothing may come any more.
+func (m *Machine) Off() error {
+	m.mu.Lock()
+	if !m.on {
+		m.mu.Unlock()
+		return nil
+	}
+	m.on = false
+	if m.open > 0 {
+		m.fault(fmt.Errorf("machine %s is told free with %d requests in work", m.ID, m.open))
+	}
+	server := m.server
+	m.gen++
+	m.mu.Unlock()
+	_ = server.Close()
+	ln, err := net.Listen("tcp", m.addr)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.trip = ln
+	m.mu.Unlock()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				b := make([]byte, 64)
+				if n, _ := conn.Read(b); n > 0 {
+					m.fault(fmt.Errorf("machine %s gets a request after it was told free: %q", m.ID, b[:n]))
+				}
+			}()
+		}
+	}()
+	return nil
+}
+
+// Running tells whether it is on.
+func (m *Machine) Running() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.on
+}
--- /dev/null
+++ b/internal/faults/rig.go
@@ -0,0 +1,625 @@
+package faults
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"lilacglade/internal/workorder"
+)
+
+// Scenario is a run: what there is, and steps that each wait for something that is observed.
+type Scenario struct {
+	Name     string        `yaml:"name"`
+	Proxies  int           `yaml:"proxies"`
+	Founders int           `yaml:"founders"` // 0: 3
+	Machines int           `yaml:"machines"`
+	Every    time.Duration `yaml:"every"`   // between two requests at each proxy
+	Work     time.Duration `yaml:"work"`    // staff work on a machine for so long
+	Patient  time.Duration `yaml:"patient"` // a step that waits longer is a fault; 0: 60s
+	Steps    []Step        `yaml:"steps"`
+}
+
+// Step waits until all of When holds, then does all of Do. docs/rig.md lists the words.
+type Step struct {
+	When []string `yaml:"when"`
+	Do   []string `yaml:"do"`
+}
+
+// Report is what came of a run.
+type Report struct {
+	Outcomes Outcomes
+	Machines map[string]string // where each machine stood last
+	Frees    int
+	Took     []StepTook
+	Peers    int64 // bytes that proxies sent each other
+	Ran      time.Duration
+}
+
+// StepTook is how long a step waited.
+type StepTook struct {
+	When string
+	Took time.Duration
+}
+
+// Rig is several real processes and what is between them.
+type Rig struct {
+	sc        Scenario
+	dir       string
+	log       func(string)
+	procs     []*Proc
+	relays    map[[2]string]*Relay
+	machines  []*Machine
+	discovery *Discovery
+	clients   []*clients
+	began     time.Time
+
+	mu     sync.Mutex
+	judge  *workorder.Judge
+	fault  error
+	state  *workorder.State // the newest that was seen
+	status map[string]string
+	named  map[string]string // what "leader" and the like stood for when they were named
+	calls  map[string]error  // what came of operators' calls
+	open   sync.WaitGroup
+}
+
+const (
+	patience  = 60 * time.Second
+	pollEvery = 25 * time.Millisecond
+)
+
+// Run plays a scenario with the program in a file, in an empty folder. An error is a broken promise, or a
+// step whose time never came.
+func Run(ctx context.Context, sc Scenario, binary, dir string, log func(string)) (Report, error) {
+	r := &Rig{sc: sc, dir: dir, log: log, relays: map[[2]string]*Relay{}, judge: workorder.NewJudge(),
+		status: map[string]string{}, named: map[string]string{}, calls: map[string]error{}, began: time.Now()}
+	if r.sc.Patient == 0 {
+		r.sc.Patient = patience
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer r.end()
+	if err := r.build(binary); err != nil {
+		return Report{}, err
+	}
+	var watching, asking sync.WaitGroup
+	for _, p := range r.procs {
+		watching.Add(1)
+		go func() {
+			defer watching.Done()
+			r.watch(ctx, p)
+		}()
+	}
+	askCtx, stopAsking := context.WithCancel(ctx)
+	defer stopAsking()
+	for _, c := range r.clients {
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			c.run(askCtx)
+		}()
+	}
+	report := Report{Machines: map[string]string{}}
+	err := r.steps(ctx, &report)
+	stopAsking()
+	asking.Wait()
+	r.open.Wait()
+	stop()
+	watching.Wait()
+	for _, c := range r.clients {
+		o := c.outcomes()
+		t := &report.Outcomes
+		t.Asked += o.Asked
+		t.Served += o.Served
+		t.Refused += o.Refused
+		t.Failed += o.Failed
+		t.Lost += o.Lost
+		t.Excused += o.Excused
+		t.Unmet += o.Unmet
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != nil {
+		for _, w := range r.state.Works {
+			report.Machines[w.Machine.ID] = w.Step.String()
+		}
+	}
+	for _, relay := range r.relays {
+		relay.mu.Lock()
+		report.Peers += relay.Bytes
+		relay.mu.Unlock()
+	}
+	report.Frees, report.Ran = r.judge.Frees, time.Since(r.began)
+	return report, errors.Join(err, r.fault, r.judge.Fault)
+}
+
+func (r *Rig) say(format string, args ...any) {
+	if r.log != nil {
+		r.log(fmt.Sprintf("%7.3f ", time.Since(r.began).Seconds()) + fmt.Sprintf(format, args...))
+	}
+}
+
+// wrong notes the first fault.
+func (r *Rig) wrong(err error) {
+	r.say("FAULT %v", err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fault == nil {
+		r.fault = err
+	}
+}
+
+func (r *Rig) broken() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return errors.Join(r.fault, r.judge.Fault)
+}
+
+// free is an address that nobody listens on.
+func free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func (r *Rig) build(binary string) error {
+	for i := range r.sc.Machines {
+		m, err := NewMachine(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%2), fmt.Sprintf("k%d", i/2%2), r.wrong)
+		if err != nil {
+			return err
+		}
+		r.machines = append(r.machines, m)
+	}
+	var err error
+	if r.discovery, err = NewDiscovery(r.machines); err != nil {
+		return err
+	}
+	for i := range r.sc.Proxies {
+		p := &Proc{Name: fmt.Sprintf("n%d", i), binary: binary, dir: filepath.Join(r.dir, fmt.Sprintf("n%d", i))}
+		for _, at := range []*string{&p.Listen, &p.Admin, &p.peersAt} {
+			if *at, err = free(); err != nil {
+				return err
+			}
+		}
+		r.procs = append(r.procs, p)
+	}
+	var founders []string
+	for i := range max(1, min(cmpOr(r.sc.Founders, 3), len(r.procs))) {
+		founders = append(founders, r.procs[i].Name)
+	}
+	for i, p := range r.procs {
+		peers := map[string]string{}
+		for _, o := range r.procs {
+			if o == p {
+				continue
+			}
+			relay, err := NewRelay(o.peersAt)
+			if err != nil {
+				return err
+			}
+			r.relays[[2]string{p.Name, o.Name}] = relay
+			peers[o.Name] = relay.Addr()
+		}
+		if err := p.configure(i, len(r.procs), r.discovery.Addr(), founders, peers); err != nil {
+			return err
+		}
+		r.clients = append(r.clients, &clients{proc: p, fault: r.wrong, every: max(r.sc.Every, time.Millisecond)})
+	}
+	for _, p := range r.procs {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func cmpOr(a, b int) int {
+	if a != 0 {
+		return a
+	}
+	return b
+}
+
+// end ends all that was started.
+func (r *Rig) end() {
+	for _, p := range r.procs {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, relay := range r.relays {
+		relay.Close()
+	}
+	for _, m := range r.machines {
+		m.mu.Lock()
+		if m.server != nil {
+			_ = m.server.Close()
+		}
+		if m.trip != nil {
+			_ = m.trip.Close()
+		}
+		m.mu.Unlock()
+	}
+	if r.discovery != nil {
+		r.discovery.Close()
+	}
+}
+
+// watch asks one process again and again how things stand, and is the staff: a machine that is told free is
+// switched off at once, worked on, and started anew.
+func (r *Rig) watch(ctx context.Context, p *Proc) {
+	for n := 0; ctx.Err() == nil; n++ {
+		raw, err := p.Call(fmt.Sprintf(`WORK {"id":"look-%s-%d","do":"state"}`, p.Name, n))
+		if err == nil {
+			err = r.seen(p, strings.TrimSpace(raw))
+		}
+		r.mu.Lock()
+		if r.status[p.Name] = "told"; err != nil {
+			r.status[p.Name] = err.Error()
+		}
+		r.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+func (r *Rig) seen(p *Proc, encoded string) error {
+	raw, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil {
+		return err
+	}
+	s, err := workorder.Restore(raw)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.judge.State(p.Name, s)
+	if r.state == nil || s.Index > r.state.Index {
+		r.state = s
+	}
+	for _, w := range s.Works {
+		if w.Step != workorder.Free {
+			continue
+		}
+		for _, m := range r.machines {
+			if m.ID == w.Machine.ID && m.Running() && float64(m.Started) == w.Machine.Started {
+				r.say("%s is told free by way of %s", m.ID, p.Name)
+				if err := m.Off(); err != nil {
+					return err
+				}
+				r.open.Add(1)
+				time.AfterFunc(r.sc.Work, func() {
+					defer r.open.Done()
+					r.on(m)
+				})
+			}
+		}
+	}
+	return nil
+}
+
+// on starts a machine anew.
+func (r *Rig) on(m *Machine) {
+	var err error
+	r.discovery.Change(func() { err = m.On() })
+	if err != nil {
+		r.wrong(err)
+	}
+	r.say("%s has started anew", m.ID)
+}
+
+// steps goes through the scenario.
+func (r *Rig) steps(ctx context.Context, report *Report) error {
+	for i, step := range r.sc.Steps {
+		began := time.Now()
+		for _, when := range step.When {
+			for {
+				ok, err := r.holds(when)
+				if err = errors.Join(err, r.broken()); err != nil {
+					return fmt.Errorf("steps[%d]: %w", i, err)
+				}
+				if ok {
+					break
+				}
+				if time.Since(began) > r.sc.Patient || ctx.Err() != nil {
+					return fmt.Errorf("steps[%d]: never: %s\n%s", i, when, r.stands())
+				}
+				time.Sleep(pollEvery / 5)
+			}
+			report.Took = append(report.Took, StepTook{when, time.Since(began)})
+			r.say("seen: %s", when)
+		}
+		for _, do := range step.Do {
+			r.say("do: %s", do)
+			if err := r.do(do); err != nil {
+				return fmt.Errorf("steps[%d]: %s: %w", i, do, err)
+			}
+		}
+	}
+	return r.broken()
+}
+
+// stands words how things stand, for a fault.
+func (r *Rig) stands() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b strings.Builder
+	for _, p := range r.procs {
+		fmt.Fprintf(&b, "%s: %s\n", p.Name, r.status[p.Name])
+		lines := strings.Split(strings.TrimSpace(p.Log()), "\n")
+		fmt.Fprintf(&b, "  %s\n", strings.Join(lines[max(0, len(lines)-6):], "\n  "))
+	}
+	if r.state != nil {
+		for _, w := range r.state.Works {
+			fmt.Fprintf(&b, "%s is %v (%s)\n", w.Machine.ID, w.Step, w.Why)
+		}
+	}
+	return b.String()
+}
+
+func (r *Rig) proc(name string) (*Proc, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if was, ok := r.named[name]; ok {
+		name = was
+	}
+	for _, p := range r.procs {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return nil, fmt.Errorf("%q: no such proxy", name)
+}
+
+func (r *Rig) machine(id string) (*Machine, error) {
+	for _, m := range r.machines {
+		if m.ID == id {
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("%q: no such machine", id)
+}
+
+// leader is the proxy that leads, as one of those says that can ask a majority.
+func (r *Rig) leader() string {
+	for _, p := range r.procs {
+		if !p.Running() || p.paused() {
+			continue
+		}
+		raw, err := p.Call("WORK STATUS")
+		if err != nil {
+			continue
+		}
+		if f := strings.Fields(raw); len(f) > 3 {
+			return f[3]
+		}
+	}
+	return ""
+}
+
+// holds tells whether something is so now.
+func (r *Rig) holds(when string) (bool, error) {
+	f := strings.Fields(when)
+	switch {
+	case len(f) == 2 && f[0] == "ready":
+		if f[1] == "all" {
+			return !slices.ContainsFunc(r.procs, func(p *Proc) bool { return !p.Ready() }), nil
+		}
+		p, err := r.proc(f[1])
+		return err == nil && p.Ready(), err
+	case len(f) == 3 && f[0] == "voters":
+		raw, err := r.procs[0].Call("WORK STATUS")
+		line, _, _ := strings.Cut(raw, "\n")
+		_, voters, _ := strings.Cut(line, "voters")
+		return err == nil && fmt.Sprint(len(strings.Fields(voters))) == f[2], nil
+	case len(f) == 1 && f[0] == "leader":
+		name := r.leader()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if name != "" {
+			r.named["leader"] = name
+		}
+		return name != "", nil
+	case len(f) == 3 && f[0] == "served":
+		var total int
+		for _, c := range r.clients {
+			if f[1] == "all" || c.proc.Name == f[1] {
+				total += c.outcomes().Served
+			}
+		}
+		return fmt.Sprint(total) >= f[2] && len(fmt.Sprint(total)) >= len(f[2]), nil
+	case len(f) == 2 && f[0] == "through":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.state == nil || r.state.Order(f[1]) == nil {
+			return false, nil
+		}
+		return !slices.ContainsFunc(r.state.Works, func(w *workorder.Work) bool {
+			return w.Order == f[1] && !w.Step.Ended()
+		}), nil
+	case len(f) == 3 && f[0] == "call":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		err, ok := r.calls[f[1]]
+		return ok && (f[2] == "done") == (err == nil), nil
+	case len(f) >= 4 && f[0] == "log":
+		p, err := r.proc(f[1])
+		return err == nil && strings.Contains(p.Log(), strings.Join(f[2:], " ")), err
+	case len(f) == 3 && f[1] == "is":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.state == nil {
+			return false, nil
+		}
+		return slices.ContainsFunc(r.state.Works, func(w *workorder.Work) bool {
+			return w.Machine.ID == f[0] && slices.Contains(strings.Split(f[2], "|"), w.Step.String())
+		}), nil
+	}
+	return false, fmt.Errorf("when: %q: not understood", when)
+}
+
+// do does one thing.
+func (r *Rig) do(what string) error {
+	f := strings.Fields(what)
+	if len(f) < 2 {
+		return errors.New("not understood")
+	}
+	switch f[0] {
+	case "submit": // submit ID at n0,n1 most 1 keep 0.4 machines m0,m1
+		return r.submit(f)
+	case "call": // call ID pause o1 at n0
+		if len(f) != 6 {
+			return errors.New("want: call ID VERB NAME at PROXIES")
+		}
+		return r.operate(f[1], fmt.Sprintf(`{"id":%q,"do":%q,"name":%q}`, f[1], f[2], f[3]), f[5])
+	case "die", "on", "hide", "list", "silent":
+		m, err := r.machine(f[1])
+		if err != nil {
+			return err
+		}
+		switch f[0] {
+		case "die":
+			m.Die()
+		case "on":
+			r.on(m)
+		case "silent":
+			m.mu.Lock()
+			m.Silent = true
+			m.mu.Unlock()
+		default:
+			r.discovery.Hide(m.ID, f[0] == "hide")
+		}
+		return nil
+	case "discovery":
+		r.discovery.Change(func() { r.discovery.Down = f[1] == "down" })
+		return nil
+	case "heal":
+		for _, relay := range r.relays {
+			relay.Set(Treat{})
+		}
+		return nil
+	}
+	p, err := r.proc(f[1])
+	if err != nil {
+		return err
+	}
+	if f[1] == "leader" {
+		r.say("the leader is %s", p.Name)
+	}
+	c := r.clients[slices.Index(r.procs, p)]
+	c.disturb(true)
+	defer c.disturb(false)
+	switch f[0] {
+	case "kill":
+		p.Signal(syscall.SIGKILL)
+	case "term":
+		p.Signal(syscall.SIGTERM)
+	case "pause":
+		p.Signal(syscall.SIGSTOP)
+	case "continue":
+		p.Signal(syscall.SIGCONT)
+	case "start":
+		return p.Start()
+	case "lose": // its disk
+		return os.RemoveAll(filepath.Dir(p.Disk()))
+	case "damage": // the disk, as a write that was cut
+		st, err := os.Stat(p.Disk())
+		if err != nil {
+			return err
+		}
+		return os.Truncate(p.Disk(), st.Size()*2/3)
+	case "keep": // a copy of the disk as it is
+		return copyFile(p.Disk(), p.Disk()+".kept")
+	case "return": // to the copy
+		return copyFile(p.Disk()+".kept", p.Disk())
+	case "cut", "reset", "half", "delay", "drip":
+		return r.treat(p, f)
+	default:
+		return errors.New("not understood")
+	}
+	return nil
+}
+
+func copyFile(from, to string) error {
+	raw, err := os.ReadFile(from)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(to, raw, 0o600)
+}
+
+// treat has the relays of a proxy treat what it says (out), hears (in), or both.
+func (r *Rig) treat(p *Proc, f []string) error {
+	t := map[string]Treat{"cut": {Cut: true}, "reset": {Reset: true}, "half": {Half: true},
+		"delay": {Delay: 150 * time.Millisecond}, "drip": {Drip: 600}}[f[0]]
+	way := "both"
+	if len(f) > 2 {
+		way = f[2]
+	}
+	for key, relay := range r.relays {
+		if key[0] == p.Name && way != "in" || key[1] == p.Name && way != "out" {
+			relay.Set(t)
+		}
+	}
+	return nil
+}
+
+func (r *Rig) submit(f []string) error {
+	if len(f) != 10 {
+		return errors.New("want: submit ORDER at PROXIES most N keep PART machines IDS")
+	}
+	line := fmt.Sprintf(`{"id":"submit-%s","do":"submit","order":{"id":%q,"most":%s,"keep":%s,"machines":["%s"]}}`,
+		f[1], f[1], f[5], f[7], strings.ReplaceAll(f[9], ",", `","`))
+	return r.operate("submit-"+f[1], line, f[3])
+}
+
+// operate makes an operators' call at some proxies at once, each until it is answered.
+func (r *Rig) operate(id, line, at string) error {
+	for _, name := range strings.Split(at, ",") {
+		p, err := r.proc(name)
+		if err != nil {
+			return err
+		}
+		r.open.Add(1)
+		go func() {
+			defer r.open.Done()
+			for end := time.Now().Add(r.sc.Patient); time.Now().Before(end); {
+				_, err := p.Call("WORK " + line)
+				if no, told := err.(turnedDown); err != nil && (!told || no.open()) {
+					time.Sleep(pollEvery)
+					continue
+				}
+				r.say("call %s at %s: %v", id, p.Name, err)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if was, ok := r.calls[id]; ok && (was == nil) != (err == nil) {
+					r.judge.Fault = cmpErr(r.judge.Fault, fmt.Errorf("call %s gave %v and %v", id, was, err))
+				}
+				r.calls[id] = err
+				return
+			}
+		}()
+	}
+	return nil
+}
+
+func cmpErr(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/faults/rig_test.go
@@ -0,0 +1,63 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "faults")
+	if err == nil {
+		binary = filepath.Join(dir, "lilacglade")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, "lilacglade/cmd/lilacglade").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	code := 1
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// TestScenarios plays the scenarios of lab/fleet on real processes: each is a hard case of taking machines
+// out, with requests all the time. The judge is the one of the plays in virtual time.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("../../lab/fleet/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var sc Scenario
+			if err := yaml.UnmarshalWithOptions(raw, &sc, yaml.DisallowUnknownField()); err != nil {
+				t.Fatal(err)
+			}
+			report, err := Run(context.Background(), sc, binary, t.TempDir(), func(s string) { t.Log(s) })
+			t.Logf("%+v", report)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if o := report.Outcomes; o.Served < o.Asked/2 || report.Frees == 0 {
+				t.Errorf("served %d of %d, %d machines told free", o.Served, o.Asked, report.Frees)
+			}
+		})
+	}
+}
--- a/internal/holds/holds.go
+++ b/internal/holds/holds.go
@@ -85,6 +85,17 @@
 // Index is that of the state that is kept to.
 func (s *Set[K]) Index() uint64 { return s.facts.Index }
 
+// Marks counts the machines that are marked.
+func (s *Set[K]) Marks() int { return len(s.facts.Marked) }
+
+// Until is when the lease ends that a machine may be sent to by, 0 if it needs none.
+func (s *Set[K]) Until(id K) time.Duration {
+	if !slices.Contains(s.facts.Named, id) {
+		return 0
+	}
+	return s.facts.Until
+}
+
 // Due is when At has something to tell at the latest, if nothing is told before; 0: never.
 func (s *Set[K]) Due() time.Duration {
 	switch f := &s.facts; {
--- a/internal/legs/inbox.go
+++ b/internal/legs/inbox.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+
+	lg "lilacglade"
+	"lilacglade/internal/holds"
 )
 
 // inbox takes what happens on any goroutine to the one that runs the reducer. Posting never
@@ -76,5 +79,6 @@
 	stopping struct{}
 	alone    struct{} // the process before this one has ended
 	easing   struct{ leg *leg }
+	settled  struct{ facts holds.Facts[lg.ServerID] }
 	failed   struct{ err error }
 )
--- a/internal/legs/leg.go
+++ b/internal/legs/leg.go
@@ -59,9 +59,11 @@
 type job struct {
 	bufs   [][]byte
 	by     time.Time
-	report bool   // post the end of it
-	detach bool   // detach the leg in place of writing
-	pass   func() // pass a flow on in place of writing
+	report bool      // post the end of it
+	detach bool      // detach the leg in place of writing
+	pass   func()    // pass a flow on in place of writing
+	begin  time.Time // nothing is written from then on; zero: no matter
+	late   func()    // in place of report, where it was too late to begin a flow
 }
 
 // attach hooks a leg into its connection. It must come before OnRequest is set.
@@ -145,6 +147,14 @@
 		case j.detach:
 			g.detach()
 			continue
+		case !j.begin.IsZero() && !time.Now().Before(j.begin):
+			// Guards against a process that was paused here: the machine may be out by now.
+			if j.late != nil {
+				j.late()
+			} else {
+				g.inbox.post(written{leg: g})
+			}
+			continue
 		case j.pass != nil:
 			j.pass()
 			continue
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -19,6 +19,7 @@
 	lg "lilacglade"
 	"lilacglade/internal/admin"
 	"lilacglade/internal/http1"
+	"lilacglade/internal/peers"
 	"lilacglade/internal/proxystate"
 	"lilacglade/internal/routeset"
 	"lilacglade/internal/settings"
@@ -76,6 +77,8 @@
 	limits   settings.Limits
 	stale    time.Duration // until then classes that were dropped are taken
 	done     bool
+	peers    *peers.Node // nil: it talks to no other proxy
+	loads    loads
 }
 
 // budget gives callers and next hops their parts of the descriptors.
@@ -94,12 +97,18 @@
 // is a new configuration. Trace may be nil.
 func Serve(ctx context.Context, node settings.Node, reloads <-chan Load,
 	trace proxystate.Tracer) error {
-	return ServeBy(ctx, node, reloads, nil, trace)
+	return ServeBy(ctx, node, reloads, Options{Trace: trace})
 }
 
-// ServeBy runs the proxy with a decider in place of the decision module, nil for the module.
-func ServeBy(ctx context.Context, node settings.Node, reloads <-chan Load,
-	decider proxystate.Decider, trace proxystate.Tracer) error {
+// Options are what a proxy may have besides.
+type Options struct {
+	Decider proxystate.Decider // in place of the decision module; nil: the module
+	Trace   proxystate.Tracer  // nil: none
+	Peers   *peers.Config      // nil: it talks to no other proxy
+}
+
+// ServeBy runs the proxy with options.
+func ServeBy(ctx context.Context, node settings.Node, reloads <-chan Load, o Options) error {
 	p := &proxy{set: node.Settings, start: time.Now(), inbox: newInbox(),
 		callers: map[proxystate.LegID]*leg{}, hops: map[proxystate.LegID]*leg{}, timer: time.NewTimer(0)}
 	p.routes = routeset.New(p.set.ZoneNames, p.set.KindNames, p.start.Add(-longAgo))
@@ -109,7 +118,7 @@
 	p.windows = newWindows(int64(node.Limits.MemoryMB) << 20)
 	cfg := proxystate.Config{Settings: p.set.Settings, Seed: node.Seed,
 		MaxCallers: calm(callers), MaxHops: hops, IdleHops: p.set.KeepAlive / idleParts,
-		Discovery: node.Discovery, Decider: decider, Trace: trace, Figures: node.Admin != ""}
+		Discovery: node.Discovery, Decider: o.Decider, Trace: o.Trace, Figures: node.Admin != "" || o.Peers != nil, Work: o.Peers != nil}
 	if p.passed {
 		cfg.Confirm, cfg.Overlap = p.now()+confirmWithin, p.now()+overlapFor
 	}
@@ -117,8 +126,16 @@
 	if err != nil {
 		return err
 	}
+	if o.Peers != nil {
+		if err := p.join(*o.Peers, node); err != nil {
+			return err
+		}
+	}
 	if node.Admin != "" {
 		p.door = new(admin.Door)
+		if p.peers != nil {
+			p.door.Work = p.peers.Work
+		}
 		if err := p.door.Listen(node.Admin); err != nil {
 			return err
 		}
@@ -158,7 +175,11 @@
 		p.know(node.Known)
 	}
 	log.Printf("%s serves on %s", node.Name, node.Listen)
-	return p.run()
+	err = p.run()
+	if p.peers != nil {
+		p.peers.Leave()
+	}
+	return err
 }
 
 type legKey struct{}
@@ -299,6 +320,8 @@
 		if known != nil {
 			p.know(known)
 		}
+	case settled:
+		p.step(proxystate.Settled{Facts: item.facts})
 	case easing:
 		if !item.leg.parted && !item.leg.busy && item.leg.quiet() {
 			p.step(proxystate.CallerQuiet{Leg: item.leg.id})
@@ -560,6 +583,9 @@
 		log.Printf("discovery: %v", err)
 	}
 	p.step(proxystate.RoutesTold{List: list})
+	if err == nil {
+		p.inventory()
+	}
 }
 
 // step hands the reducer an event and carries out what it asks for.
@@ -608,11 +634,14 @@
 			ms := fmt.Sprint(max(1, (e.At - p.now()).Milliseconds()))
 			if f, ok := e.Payload.(*flow); ok {
 				g.flow = f
-				g.write(p.pass(f, g, f.m.ForwardHead(fieldTimeout, ms, f.length)))
+				j := p.pass(f, g, f.m.ForwardHead(fieldTimeout, ms, f.length))
+				j.begin = p.begin(e)
+				j.late = func() { p.inbox.post(written{leg: g, flow: f}) }
+				g.write(j)
 				return
 			}
 			bufs := e.Payload.(*http1.Message).Forward(fieldTimeout, ms)
-			g.write(job{bufs: bufs, by: p.wall(e.At), report: true})
+			g.write(job{bufs: bufs, by: p.wall(e.At), report: true, begin: p.begin(e)})
 		}
 	case proxystate.CloseHop:
 		if g := p.hops[e.Leg]; g != nil {
@@ -649,7 +678,10 @@
 		now := p.now()
 		p.watcher.ask(call{p.routes.Query(now, now+wait), p.wall(now + wait + answerWithin)})
 	case proxystate.Publish:
-		p.door.Show(e.Payload.(*proxystate.Figures))
+		p.published(e.Payload.(*proxystate.Figures))
+	case proxystate.Stop:
+		stopped := e.Payload.(proxystate.Stopped)
+		p.peers.Stopped(stopped.Index, stopped.Clear)
 	case proxystate.Log:
 		log.Print(e.Text)
 	case proxystate.Finish:
--- /dev/null
+++ b/internal/legs/work.go
@@ -0,0 +1,67 @@
+package legs
+
+import (
+	"slices"
+	"time"
+
+	lg "lilacglade"
+	"lilacglade/internal/holds"
+	"lilacglade/internal/peers"
+	"lilacglade/internal/proxystate"
+	"lilacglade/internal/routeset"
+	"lilacglade/internal/settings"
+	"lilacglade/internal/workorder"
+)
+
+// loads is what the other proxies were told of this one's load.
+type loads struct{ handled, refused uint64 }
+
+// join has this proxy take part among its peers.
+func (p *proxy) join(cfg peers.Config, node settings.Node) (err error) {
+	var longest time.Duration
+	for _, c := range p.set.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	p.peers, err = peers.Start(cfg, peers.Options{Name: node.Name, Seed: node.Seed, Grace: longest,
+		WarmAfter: p.set.WarmWithin, Now: p.now, ID: routeset.ID,
+		Facts: func(f holds.Facts[lg.ServerID]) { p.inbox.post(settled{f}) }})
+	return err
+}
+
+// begin is when a request must have begun to be written at the latest.
+func (p *proxy) begin(e proxystate.Effect) time.Time {
+	if e.Begin <= 0 {
+		return time.Time{}
+	}
+	return p.wall(e.Begin)
+}
+
+// published shows the figures to operators, and what follows from them to the other proxies.
+func (p *proxy) published(f *proxystate.Figures) {
+	if p.door != nil {
+		p.door.Show(f)
+	}
+	if p.peers == nil {
+		return
+	}
+	now := loads{}
+	for _, h := range f.Handled {
+		now.handled += h.Passed + h.Dropped + h.BadGateway
+		now.refused += h.Dropped
+	}
+	p.peers.Load(now.handled-p.loads.handled, now.refused-p.loads.refused)
+	p.loads = now
+}
+
+// inventory tells the other proxies' council what discovery lists.
+func (p *proxy) inventory() {
+	if p.peers == nil {
+		return
+	}
+	var all []workorder.Seen
+	for _, in := range p.routes.Instances() {
+		all = append(all, workorder.Seen{Ready: in.State == lg.Ready, Machine: workorder.Machine{ID: in.Name,
+			Zone: in.Zone, Kind: in.Kind, Weight: in.Weight, Started: in.Started}})
+	}
+	p.peers.Inventory(slices.Clip(all))
+}
--- a/internal/proxystate/events.go
+++ b/internal/proxystate/events.go
@@ -208,6 +208,7 @@
 	// address than before, drop the call that is out first: its RoutesTold never comes
 	Log     // a line for the operator
 	Publish // Payload is *Figures, for operators to read
+	Stop    // Payload is Stopped, for the proxies to settle what goes out for work
 	Finish  // all is answered: end
 )
 
@@ -238,4 +239,5 @@
 	Payload any
 	Last    bool // the answer is the leg's last
 	Text    string
+	Begin   time.Duration // Forward: the first byte must not be written later; 0: no matter
 }
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -108,7 +108,11 @@
 	if r := b.req; r.stream && r.whole == 0 {
 		at = s.now + r.may // counted from its last byte: as long as an answer may take
 	}
-	s.do(Effect{Do: Forward, Leg: LegID(l.ID), Payload: b.req.payload, At: at})
+	e := Effect{Do: Forward, Leg: LegID(l.ID), Payload: b.req.payload, At: at}
+	if s.work != nil {
+		e.Begin = s.work.set.Until(l.Hop.ID)
+	}
+	s.do(e)
 }
 
 // release gives a leg back to the pool.
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -44,6 +44,8 @@
 	Confirm time.Duration
 	// Overlap: another process of this proxy holds its part of the hop legs until then; 0: there is none
 	Overlap time.Duration
+	// Work: machines are taken out for work by what Settled tells; nothing is sent before it told of a lease
+	Work bool
 }
 
 // Decider chooses the server, whether to try again and what to refuse: the decision module
@@ -76,6 +78,7 @@
 	drained    bool // no more callers are expected
 	confirmed  bool // discovery has answered
 	counts     counts
+	work       *work // nil: no machine is taken out by what proxies settle
 }
 
 // callerPhase is where a caller leg stands.
@@ -177,6 +180,9 @@
 		s.clock.add(0, s.share)
 		s.clock.add(cfg.Overlap, s.share)
 	}
+	if cfg.Work {
+		s.work = newWork()
+	}
 	s.counts.wanted = cfg.Figures
 	s.countClasses(cfg.Settings)
 	if cfg.Figures {
@@ -189,6 +195,9 @@
 func (s *State) Step(now time.Duration, ev Event) []Effect {
 	s.now = max(s.now, now)
 	s.effects = s.effects[:0]
+	if s.work != nil {
+		s.lookWork()
+	}
 	s.take(ev)
 	s.settle()
 	for do := s.clock.next(s.now); do != nil; do = s.clock.next(s.now) {
@@ -295,6 +304,8 @@
 		s.hopClosed(ev.Leg)
 	case RoutesTold:
 		s.told(ev.List)
+	case Settled:
+		s.settled(ev)
 	case CallerQuiet:
 		s.eased(ev.Leg)
 	case Reloaded:
@@ -382,6 +393,9 @@
 
 // told takes in the route set's news and goes on watching.
 func (s *State) told(list lg.List) {
+	if s.work != nil {
+		list = s.overlay(list)
+	}
 	s.tell(list)
 	if s.cfg.Trace != nil {
 		s.traceList(list)
--- a/internal/routeset/routeset.go
+++ b/internal/routeset/routeset.go
@@ -3,6 +3,7 @@
 package routeset
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -140,6 +141,23 @@
 	return list, *doc.Version, doc.Instances, nil
 }
 
+// Listed is an instance as discovery told it last.
+type Listed struct {
+	Name, Zone, Kind string
+	State            lg.State
+	Weight           float64
+	Started          float64 // Unix time in milliseconds; 0: long ago
+}
+
+// Instances lists the route set by name.
+func (s *Set) Instances() (all []Listed) {
+	for _, in := range s.told {
+		all = append(all, Listed{in.ID, in.Zone, in.Kind, states[in.State], in.Weight, in.Started})
+	}
+	slices.SortFunc(all, func(a, b Listed) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
 // Document words the route set as discovery would, for another process of this proxy.
 func (s *Set) Document() []byte {
 	doc := document{Version: &s.Version, Full: true, Instances: []instance{}}
