--- a/cmd/lilacglade/work.go
+++ b/cmd/lilacglade/work.go
@@ -25,7 +25,9 @@
   status   what stands where, and why something waits
   submit   give an order: machines to take out, one after the other
   pause    grant nothing more of an order; resume ends that; cancel ends the order
-  out      say that work on a free machine has begun; back, that it takes requests again; fail, that it is given up
+  out      say that work on a free machine has begun
+  back     say that a machine takes requests again
+  fail     give a machine up; it stays marked
   forget   vouch that no process of a proxy runs any more, and none comes back with its old disk
 
 Sent again with the same --id, a call is carried out once. docs/operate/work-order.md says more.
@@ -96,8 +98,7 @@
 	case !strings.HasPrefix(answer, "+OK"):
 		return fmt.Errorf("work: no whole answer (%v); ask again with --id %s", err, a.ID)
 	}
-	if rest := strings.TrimSuffix(strings.TrimPrefix(strings.TrimPrefix(answer, "+OK"), "\n"), ".\n"); rest != "" {
-		fmt.Fprint(out, rest)
-	}
+	answer = strings.TrimPrefix(strings.TrimPrefix(answer, "+OK"), "\n")
+	fmt.Fprint(out, strings.TrimSuffix(answer, ".\n"))
 	return nil
 }
--- a/internal/agree/core.go
+++ b/internal/agree/core.go
@@ -98,7 +98,8 @@
 		}
 	}
 	if n := len(saved.Entries); n > 0 && saved.Entries[0].GetIndex() > c.applied+1 {
-		return nil, nil, fmt.Errorf("entries from %d on behind a snapshot at %d", saved.Entries[0].GetIndex(), c.applied)
+		return nil, nil, fmt.Errorf("entries from %d on behind a snapshot at %d",
+			saved.Entries[0].GetIndex(), c.applied)
 	}
 	if err := c.store.Append(saved.Entries); err != nil {
 		return nil, nil, err
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -700,8 +700,9 @@
 // state words what all parties are to know.
 func (c *Council) state() *Lease {
 	_, every := c.pace()
-	l := &Lease{Every: every, Grace: c.rep.Work.Grace, Index: max(1, c.rep.Work.Index), Named: c.rep.Work.Named(),
-		Marked: c.rep.Work.Marked(), Leader: c.cfg.Name}
+	w := c.rep.Work
+	l := &Lease{Every: every, Grace: w.Grace, Index: max(1, w.Index), Named: w.Named(), Marked: w.Marked(),
+		Leader: c.cfg.Name}
 	for _, id := range slices.Sorted(maps.Keys(c.rep.Voters)) {
 		l.Voters = append(l.Voters, c.rep.Voters[id])
 	}
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -335,8 +335,8 @@
 	}
 	change := func(add *members.Member, remove ...uint64) {
 		c.lead.change = c.now
-		v := Voter{add.ID, add.Name, add.Addr}
-		if err := c.core.Change([]uint64{add.ID}, remove, workorder.Encode(founding{Voters: []Voter{v}})); err == nil {
+		who := workorder.Encode(founding{Voters: []Voter{{add.ID, add.Name, add.Addr}}})
+		if err := c.core.Change([]uint64{add.ID}, remove, who); err == nil {
 			c.lead.voterAt[add.ID] = c.now
 			c.do(Log{fmt.Sprintf("%s gets a vote", add.Name)})
 		}
--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -119,7 +119,8 @@
 	}
 	p.every = max(joinEvery, l.Every)
 	p.until = max(p.until, sent+l.For) // from when it was sent: the leader counts from later on
-	if c.core != nil && !c.core.Changing() && slices.Contains(c.core.Voters(), c.cfg.ID) && l.Index >= c.rep.Work.Index &&
+	votes := c.core != nil && !c.core.Changing() && slices.Contains(c.core.Voters(), c.cfg.ID)
+	if votes && l.Index >= c.rep.Work.Index &&
 		!slices.ContainsFunc(l.Voters, func(v Voter) bool { return v.ID == c.cfg.ID }) {
 		c.retire("another proxy has its vote now")
 	}
@@ -145,8 +146,8 @@
 	if f.Until == 0 && c.cfg.AloneAfter > 0 && p.began > 0 && c.now-p.began >= c.cfg.AloneAfter {
 		f.Until = Forever
 		if p.told.Until != Forever {
-			c.do(Log{fmt.Sprintf("no lease after %v: serves alone, as configured, and can't know which machines are out",
-				c.cfg.AloneAfter)})
+			c.do(Log{fmt.Sprintf("no lease after %v: serves alone, as configured, and can't know which machines "+
+				"are out", c.cfg.AloneAfter)})
 		}
 	}
 	if p.toldOnce && f.Index == p.told.Index && f.Until == p.told.Until && f.Grace == p.told.Grace {
--- a/internal/faults/clients.go
+++ b/internal/faults/clients.go
@@ -32,7 +32,8 @@
 	admitted int       // the start of the process that was ready once: clients come from then on
 }
 
-// disturb notes that what is open at the process may get no answer, from its call with true to that with false.
+// disturb notes that what is open at the process may get no answer, from its call with true to that with
+// false.
 func (c *clients) disturb(begins bool) {
 	c.mu.Lock()
 	c.hurting, c.hurt = begins, time.Now()
--- a/internal/faults/machine.go
+++ b/internal/faults/machine.go
@@ -59,7 +59,9 @@
 		m.Started = time.Now().UnixMilli()
 	}
 	gen := m.gen
-	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(gen, w, r) })}
+	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.serve(gen, w, r)
+	})}
 	go m.server.Serve(ln)
 	return nil
 }
--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -55,8 +55,8 @@
 	}
 	cmd := exec.Command(p.binary, "serve", "--config", filepath.Join(p.dir, "config.json"), "--peers",
 		filepath.Join(p.dir, "peers.yaml"))
-	cmd.Env = append(os.Environ(), "NODE_CONFIG=", "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=", "NODE_ADMIN=",
-		"NODE_PEERS=", "TMPDIR="+p.dir)
+	cmd.Env = append(os.Environ(), "NODE_CONFIG=", "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=",
+		"NODE_ADMIN=", "NODE_PEERS=", "TMPDIR="+p.dir)
 	cmd.Stdout, cmd.Stderr = p, p
 	if err := cmd.Start(); err != nil {
 		return err
@@ -174,7 +174,8 @@
 			"counted-by": "request", "membership-mode": "on_request", "over-share-worth": 0.1,
 			"prices":    map[string]any{"cross-zone": 0.025},
 			"reporting": map[string]any{"how": "piggyback", "names": []string{"rif", "lat_ms"}},
-			"rules": map[string]any{"answer-slack": 20.0, "ask-every": 1500.0, "cold-from": 0.3, "overload-for": 1000.0,
+			"rules": map[string]any{"answer-slack": 20.0, "ask-every": 1500.0, "cold-from": 0.3,
+				"overload-for":        1000.0,
 				"stop-sending-within": 250.0, "tip-multiple": 2.5, "warm-within": 500.0},
 			"tenants": []any{map[string]any{"name": "port", "allowance-per-s": 500.0}}}}
 	raw, err := json.Marshal(config)
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -582,9 +582,10 @@
 	if len(f) != 10 {
 		return errors.New("want: submit ORDER at PROXIES most N keep PART machines IDS")
 	}
-	line := fmt.Sprintf(`{"id":"submit-%s","do":"submit","order":{"id":%q,"most":%s,"keep":%s,"machines":["%s"]}}`,
-		f[1], f[1], f[5], f[7], strings.ReplaceAll(f[9], ",", `","`))
-	return r.operate("submit-"+f[1], line, f[3])
+	order := fmt.Sprintf(`{"id":%q,"most":%s,"keep":%s,"machines":["%s"]}`, f[1], f[5], f[7],
+		strings.ReplaceAll(f[9], ",", `","`))
+	id := "submit-" + f[1]
+	return r.operate(id, fmt.Sprintf(`{"id":%q,"do":"submit","order":%s}`, id, order), f[3])
 }
 
 // operate makes an operators' call at some proxies at once, each until it is answered.
--- a/internal/faults/rig_test.go
+++ b/internal/faults/rig_test.go
@@ -18,7 +18,8 @@
 	if err == nil {
 		binary = filepath.Join(dir, "lilacglade")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", binary, "lilacglade/cmd/lilacglade").CombinedOutput(); err != nil {
+		out, err = exec.Command("go", "build", "-o", binary, "lilacglade/cmd/lilacglade").CombinedOutput()
+		if err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
--- a/internal/holds/holds.go
+++ b/internal/holds/holds.go
@@ -45,7 +45,8 @@
 }
 
 // At is to be asked before each event. Changed says that what Holds tells may differ from before; cut, that
-// all that is open at named machines is to be closed: the longest deadline has passed since the lease ran out.
+// all that is open at named machines is to be closed: the longest deadline has passed since the lease ran
+// out.
 func (s *Set[K]) At(now time.Duration) (changed, cut bool) {
 	f := &s.facts
 	if f.Until == 0 {
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -118,7 +118,8 @@
 	p.windows = newWindows(int64(node.Limits.MemoryMB) << 20)
 	cfg := proxystate.Config{Settings: p.set.Settings, Seed: node.Seed,
 		MaxCallers: calm(callers), MaxHops: hops, IdleHops: p.set.KeepAlive / idleParts,
-		Discovery: node.Discovery, Decider: o.Decider, Trace: o.Trace, Figures: node.Admin != "" || o.Peers != nil, Work: o.Peers != nil}
+		Discovery: node.Discovery, Decider: o.Decider, Trace: o.Trace, Work: o.Peers != nil,
+		Figures: node.Admin != "" || o.Peers != nil}
 	if p.passed {
 		cfg.Confirm, cfg.Overlap = p.now()+confirmWithin, p.now()+overlapFor
 	}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -372,7 +372,8 @@
 	n.mu.Lock()
 	delete(n.waits, token)
 	n.mu.Unlock()
-	return council.Answer{ID: call.ID, Err: "no answer; the call may still be carried out: ask again with the same id"}
+	return council.Answer{ID: call.ID, Err: "no answer; the call may still be carried out: ask again with the " +
+		"same id"}
 }
 
 // Action is an operators' call as it comes in on the admin socket.
@@ -431,8 +432,9 @@
 	case call.Whole:
 		return []byte("+OK\n" + base64.StdEncoding.EncodeToString(answer.State) + "\n.\n")
 	case call.Status:
-		return []byte("+OK\n" + answer.Status + fmt.Sprintf("here %s sent %d heard %d bytes, not understood %d messages and %d connections\n",
-			n.name, n.sent.Load(), n.heard.Load(), n.foreign.Load(), n.garbled.Load()) + ".\n")
+		here := fmt.Sprintf("here %s sent %d heard %d bytes, not understood %d messages and %d connections\n",
+			n.name, n.sent.Load(), n.heard.Load(), n.foreign.Load(), n.garbled.Load())
+		return []byte("+OK\n" + answer.Status + here + ".\n")
 	}
 	return []byte("+OK\n")
 }
--- a/internal/proxystate/work.go
+++ b/internal/proxystate/work.go
@@ -34,7 +34,8 @@
 }
 
 func newWork() *work {
-	return &work{set: holds.New[lg.ServerID](), listed: map[lg.ServerID]lg.Server{}, held: map[lg.ServerID]bool{}}
+	return &work{set: holds.New[lg.ServerID](), listed: map[lg.ServerID]lg.Server{},
+		held: map[lg.ServerID]bool{}}
 }
 
 // overlay takes in a list from discovery, and has held machines drain in what the rest is told of it.
--- a/internal/workorder/workorder.go
+++ b/internal/workorder/workorder.go
@@ -248,8 +248,8 @@
 	return r, false
 }
 
-// Apply takes an entry at an index, at which there may be several. It returns why nothing changed, nil if the entry counted. A call that
-// was carried out before gives what it gave then.
+// Apply takes an entry at an index, at which there may be several. It returns why nothing changed, nil if the
+// entry counted. A call that was carried out before gives what it gave then.
 func (s *State) Apply(index uint64, c Command) error {
 	if index < s.Index {
 		return errors.New("an old entry")
--- a/internal/workplay/faults.go
+++ b/internal/workplay/faults.go
@@ -332,7 +332,8 @@
 	var watch func()
 	watch = func() {
 		if w.now-began > healedWait {
-			w.report.Fault = fmt.Errorf("%v after the last fault the orders are not through:\n%s", healedWait, w.status())
+			w.report.Fault = fmt.Errorf("%v after the last fault the orders are not through:\n%s", healedWait,
+				w.status())
 			return
 		}
 		w.report.Took = w.now - began
--- a/internal/workplay/play.go
+++ b/internal/workplay/play.go
@@ -129,7 +129,6 @@
 	seenWork uint64
 	killAt   int // effects until it is killed; 0: not to be
 	wakeAt   time.Duration
-	knows    uint64
 }
 
 // Play plays one schedule.
@@ -262,7 +261,8 @@
 	}
 	p.council, p.holds, p.open = c, holds.New[string](), map[string]int{}
 	p.flights = nil
-	p.alive, p.paused, p.left, p.backlog, p.seenWork, p.killAt, p.knows, p.wakeAt = true, false, false, nil, 0, 0, 0, 0
+	p.alive, p.paused, p.left, p.backlog = true, false, false, nil
+	p.seenWork, p.killAt, p.wakeAt = 0, 0, 0
 	w.trace("%s starts as %x, boot %d", p.name, p.inc, back.Boot)
 	inc := p.inc
 	p.every(council.TickEvery, inc, func() { p.step(council.Tick{}) })
@@ -271,7 +271,8 @@
 	p.discovery()
 }
 
-// every does something again and again while this process lives. A paused process does it once when it goes on.
+// every does something again and again while this process lives. A paused process does it once when it goes
+// on.
 func (p *proxy) every(d time.Duration, inc uint64, do func()) {
 	var again func()
 	again = func() {
