Play thirteen hard cases of taking machines out on real processes, and mend what they found

Found by heard-by-none: a proxy that is heard but hears nothing went on having its lease renewed by the leader, so that machines never became free. A leader now gives no lease to who has heard no answer to four calls (council/lead.go).

--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -21,6 +21,7 @@
 	renewEvery   = time.Second            // at least, between two renewals of a lease
 	renewPace    = 10 * time.Millisecond  // all parties' renewals together leave the leader so much time each
 	leaseParts   = 3                      // a lease lasts for so many renewals
+	deafAfter    = 4                      // who has heard no answer to so many gets none
 	joinEvery    = 300 * time.Millisecond // between two calls while there is no lease
 	helloEvery   = 500 * time.Millisecond
 	helloFresh   = 3 * time.Second // an answer counts for the founding so long
@@ -48,12 +49,28 @@
 	WarmAfter    time.Duration // a machine that came back is done then
 	AloneAfter   time.Duration // without a lease the proxy serves after this, against the promise; 0: never
 
+	Without Guard // taken out; for plays that show what it guards against
+
 	ID, Boot uint64 // of the disk
 	Fresh    bool   // the disk begins anew
 	Saved    agree.Saved
 	Note     []byte
 }
 
+// Guard is one that a play can take out.
+type Guard uint8
+
+// The guards.
+const (
+	None        Guard = iota
+	Confirm           // a leader answers renewals without asking a majority
+	LeadWait          // a new leader takes it that nobody has a lease of the one before
+	LeaseWait         // a lease counts as over once it is not renewed in time
+	GraceWait         // and what was open then as over, too
+	SentCount         // a lease counts from when it came, not from when it was asked for
+	BootCompare       // an older disk votes
+)
+
 // Event is something that happened: a Tick, Received, Asked, Stopped, Inventory, Load, Leaving or DiskLost.
 type Event interface{ event() }
 
@@ -174,6 +191,7 @@
 	until    time.Duration
 	index    uint64 // of what it was told
 	knows    uint64 // of what its reducer keeps to
+	heard    uint64 // the last renewal that was answered
 	urgent   uint64 // the leader should know soon that it does, from this index on
 	named    []string
 	marked   []workorder.Mark
@@ -280,7 +298,7 @@
 		}
 	}
 	c.core = core
-	c.held = saved.Hard != nil && c.cfg.Boot > 1
+	c.held = saved.Hard != nil && c.cfg.Boot > 1 && c.cfg.Without != BootCompare
 	clear(c.agreed)
 	return nil
 }
@@ -636,7 +654,7 @@
 		delete(c.blank, e.From)
 	}
 	if h.For != 0 && h.For == c.cfg.ID {
-		if h.Seen > c.cfg.Boot {
+		if h.Seen > c.cfg.Boot && c.cfg.Without != BootCompare {
 			c.retire(fmt.Sprintf("the disk is older than what %s knows of it (start %d, not %d)", e.From, h.Seen,
 				c.cfg.Boot))
 			return
@@ -693,8 +711,17 @@
 // deadline has passed since.
 func (c *Council) expired(key string) bool {
 	last := max(c.lead.since, c.lead.renewed[key])
-	lasts, _ := c.pace()
-	return c.now-last > time.Duration(drift*float64(lasts+c.rep.Work.Grace))+TickEvery
+	lasts, every := c.pace()
+	grace := c.rep.Work.Grace
+	switch c.cfg.Without {
+	case LeadWait:
+		last = c.lead.renewed[key]
+	case LeaseWait:
+		lasts = every
+	case GraceWait:
+		grace = 0
+	}
+	return c.now-last > time.Duration(drift*float64(lasts+grace))+TickEvery
 }
 
 // state words what all parties are to know.
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -50,6 +50,11 @@
 			Addr: e.Addr, Grace: r.Grace, ID: e.ID, Boot: e.Boot}})
 		answer(&Lease{})
 		return
+	case r.Seq > r.Heard+deafAfter:
+		// Guards against leases that never arrive: who can be heard but hears nothing would hold every machine
+		// up for good, since its lease seems to go on.
+		answer(&Lease{Again: true})
+		return
 	case p.Gone:
 		answer(&Lease{}) // another process has its address
 		return
@@ -66,6 +71,12 @@
 		}
 	}
 	c.lead.want = append(c.lead.want, renewer{from: e.From, inc: e.Inc, renew: r, came: c.now})
+	if c.cfg.Without == Confirm {
+		c.lead.token++
+		c.lead.reads[c.lead.token] = &reading{index: 1, waiting: c.lead.want}
+		c.lead.want = nil
+		c.confirmed()
+	}
 }
 
 // joining notes a party's coming or going, once.
--- a/internal/council/messages.go
+++ b/internal/council/messages.go
@@ -46,6 +46,7 @@
 	Handled uint64           `cbor:"6,keyasint,omitempty"` // requests since the call before
 	Refused uint64           `cbor:"7,keyasint,omitempty"` // of them
 	Avoids  []string         `cbor:"8,keyasint,omitempty"` // machines that it has set aside
+	Heard   uint64           `cbor:"9,keyasint,omitempty"` // the last call that was answered
 }
 
 // Lease tells the state, and answers a Renew where Seq is set. With no For it is no lease: the sender does
@@ -62,6 +63,7 @@
 	Leader string           `cbor:"9,keyasint,omitempty"` // as far as the sender knows
 	Left   bool             `cbor:"10,keyasint,omitempty"`
 	Retire bool             `cbor:"11,keyasint,omitempty"` // the asker's disk is older than what it said before
+	Again  bool             `cbor:"12,keyasint,omitempty"` // it had not heard answers lately: it may ask at once
 }
 
 // Voter is one of those who agree on the log.
--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -37,7 +37,7 @@
 		return
 	}
 	c.send(to, addr, &Envelope{Renew: &Renew{Seq: p.seq, Knows: p.knows, Clear: p.clear, Grace: c.cfg.Grace,
-		Leaving: p.leaving, Handled: p.handled, Refused: p.refused, Avoids: p.avoids}})
+		Leaving: p.leaving, Handled: p.handled, Refused: p.refused, Avoids: p.avoids, Heard: p.heard}})
 	p.handled, p.refused = 0, 0
 }
 
@@ -84,6 +84,9 @@
 			return // an old answer, or to another process
 		}
 		delete(p.sentAt, l.Seq)
+		if p.heard = max(p.heard, l.Seq); l.Again {
+			p.renewAt = 0
+		}
 		if l.Seq == p.seq && l.Leader != "" && l.Leader != p.hint {
 			p.hint = l.Leader
 			if l.For == 0 && l.Leader != e.From {
@@ -118,6 +121,9 @@
 		return
 	}
 	p.every = max(joinEvery, l.Every)
+	if c.cfg.Without == SentCount {
+		sent = c.now
+	}
 	p.until = max(p.until, sent+l.For) // from when it was sent: the leader counts from later on
 	votes := c.core != nil && !c.core.Changing() && slices.Contains(c.core.Voters(), c.cfg.ID)
 	if votes && l.Index >= c.rep.Work.Index &&
--- a/internal/faults/machine.go
+++ b/internal/faults/machine.go
@@ -155,6 +155,13 @@
 	return nil
 }
 
+// Move has it start at another address the next time.
+func (m *Machine) Move() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.addr = "127.0.0.1:0"
+}
+
 // Running tells whether it is on.
 func (m *Machine) Running() bool {
 	m.mu.Lock()
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -71,6 +72,7 @@
 	named  map[string]string // what "leader" and the like stood for when they were named
 	calls  map[string]error  // what came of operators' calls
 	open   sync.WaitGroup
+	base   map[string]int // requests served when the step began
 }
 
 const (
@@ -326,6 +328,12 @@
 func (r *Rig) steps(ctx context.Context, report *Report) error {
 	for i, step := range r.sc.Steps {
 		began := time.Now()
+		r.base = map[string]int{}
+		for _, when := range step.When {
+			if f := strings.Fields(when); len(f) == 3 && f[0] == "more" {
+				r.base[f[1]] = r.served(f[1])
+			}
+		}
 		for _, when := range step.When {
 			for {
 				ok, err := r.holds(when)
@@ -411,6 +419,21 @@
 	return ""
 }
 
+// served counts the requests that were served by a proxy, or by all.
+func (r *Rig) served(name string) (total int) {
+	r.mu.Lock()
+	if was, ok := r.named[name]; ok {
+		name = was
+	}
+	r.mu.Unlock()
+	for _, c := range r.clients {
+		if name == "all" || c.proc.Name == name {
+			total += c.outcomes().Served
+		}
+	}
+	return total
+}
+
 // holds tells whether something is so now.
 func (r *Rig) holds(when string) (bool, error) {
 	f := strings.Fields(when)
@@ -421,6 +444,9 @@
 		}
 		p, err := r.proc(f[1])
 		return err == nil && p.Ready(), err
+	case len(f) == 2 && f[0] == "running":
+		m, err := r.machine(f[1])
+		return err == nil && m.Running(), err
 	case len(f) == 3 && f[0] == "voters":
 		raw, err := r.procs[0].Call("WORK STATUS")
 		line, _, _ := strings.Cut(raw, "\n")
@@ -432,16 +458,38 @@
 		defer r.mu.Unlock()
 		if name != "" {
 			r.named["leader"] = name
+			n := 0
+			for _, p := range r.procs {
+				if p.Name != name {
+					n++
+					r.named[fmt.Sprint("other", n)] = p.Name
+				}
+			}
 		}
 		return name != "", nil
-	case len(f) == 3 && f[0] == "served":
-		var total int
-		for _, c := range r.clients {
-			if f[1] == "all" || c.proc.Name == f[1] {
-				total += c.outcomes().Served
-			}
+	case len(f) == 3 && f[0] == "more": // requests served since the step began
+		n, err := strconv.Atoi(f[2])
+		if err != nil {
+			return false, err
+		}
+		return r.served(f[1])-r.base[f[1]] >= n, nil
+	case len(f) == 1 && f[0] == "idle":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.state != nil && len(r.state.Orders) > 0 && !slices.ContainsFunc(r.state.Works,
+			func(w *workorder.Work) bool { return !w.Step.Ended() }), nil
+	case len(f) == 3 && f[0] == "one-of":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		a, aDone := r.calls[f[1]]
+		b, bDone := r.calls[f[2]]
+		if aDone && bDone && (a == nil) == (b == nil) {
+			return false, fmt.Errorf("%s gave %v, %s gave %v: want one of them done", f[1], a, f[2], b)
 		}
-		return fmt.Sprint(total) >= f[2] && len(fmt.Sprint(total)) >= len(f[2]), nil
+		return aDone && bDone, nil
+	case len(f) == 3 && f[0] == "served":
+		n, err := strconv.Atoi(f[2])
+		return err == nil && r.served(f[1]) >= n, err
 	case len(f) == 2 && f[0] == "through":
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -475,6 +523,12 @@
 // do does one thing.
 func (r *Rig) do(what string) error {
 	f := strings.Fields(what)
+	if what == "heal" {
+		for _, relay := range r.relays {
+			relay.Set(Treat{})
+		}
+		return nil
+	}
 	if len(f) < 2 {
 		return errors.New("not understood")
 	}
@@ -486,7 +540,10 @@
 			return errors.New("want: call ID VERB NAME at PROXIES")
 		}
 		return r.operate(f[1], fmt.Sprintf(`{"id":%q,"do":%q,"name":%q}`, f[1], f[2], f[3]), f[5])
-	case "die", "on", "hide", "list", "silent":
+	case "split": // these from all others
+		r.split(strings.Split(f[1], ","))
+		return nil
+	case "die", "on", "hide", "list", "silent", "move":
 		m, err := r.machine(f[1])
 		if err != nil {
 			return err
@@ -496,6 +553,8 @@
 			m.Die()
 		case "on":
 			r.on(m)
+		case "move": // it comes back at another address
+			m.Move()
 		case "silent":
 			m.mu.Lock()
 			m.Silent = true
@@ -507,11 +566,6 @@
 	case "discovery":
 		r.discovery.Change(func() { r.discovery.Down = f[1] == "down" })
 		return nil
-	case "heal":
-		for _, relay := range r.relays {
-			relay.Set(Treat{})
-		}
-		return nil
 	}
 	p, err := r.proc(f[1])
 	if err != nil {
@@ -578,12 +632,28 @@
 	return nil
 }
 
+// split cuts some proxies off from all others, both ways.
+func (r *Rig) split(names []string) {
+	for key, relay := range r.relays {
+		if slices.Contains(names, key[0]) != slices.Contains(names, key[1]) {
+			relay.Set(Treat{Cut: true})
+		}
+	}
+}
+
 func (r *Rig) submit(f []string) error {
-	if len(f) != 10 {
-		return errors.New("want: submit ORDER at PROXIES most N keep PART machines IDS")
+	if len(f) != 10 && len(f) != 12 {
+		return errors.New("want: submit ORDER at PROXIES most N keep PART machines IDS [out-for TIME]")
+	}
+	outFor := time.Duration(0)
+	if len(f) == 12 {
+		var err error
+		if outFor, err = time.ParseDuration(f[11]); err != nil {
+			return err
+		}
 	}
-	order := fmt.Sprintf(`{"id":%q,"most":%s,"keep":%s,"machines":["%s"]}`, f[1], f[5], f[7],
-		strings.ReplaceAll(f[9], ",", `","`))
+	order := fmt.Sprintf(`{"id":%q,"most":%s,"keep":%s,"machines":["%s"],"out-for":%d}`, f[1], f[5], f[7],
+		strings.ReplaceAll(f[9], ",", `","`), outFor)
 	id := "submit-" + f[1]
 	return r.operate(id, fmt.Sprintf(`{"id":%q,"do":"submit","order":%s}`, id, order), f[3])
 }
--- /dev/null
+++ b/internal/proxystate/work_test.go
@@ -0,0 +1,149 @@
+package proxystate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	lg "lilacglade"
+	"lilacglade/internal/holds"
+)
+
+// settleWork is a State that knows three machines, and a way to step it.
+func settleWork(t *testing.T) (*State, func(ev Event, at time.Duration) []Effect) {
+	cfg := testConfig()
+	cfg.Work, cfg.Figures = true, true
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	step := func(ev Event, at time.Duration) []Effect { return append([]Effect(nil), s.Step(at, ev)...) }
+	step(RoutesTold{lg.List{Kind: lg.FullList, Servers: []lg.Server{{ID: 1}, {ID: 2}, {ID: 3}}}}, time.Hour)
+	return s, step
+}
+
+// reaches has requests come and be answered; it tells whether one is sent to a machine.
+func (s *State) reaches(step func(Event, time.Duration) []Effect, id lg.ServerID, at time.Duration,
+	leg *LegID) (got bool) {
+	for range 60 {
+		*leg++
+		step(CallerOpened{*leg}, at)
+		todo := step(CallerAsked{Leg: *leg, Name: fmt.Sprint(*leg), Deadline: at + time.Second,
+			Key: uint64(*leg) * 0x9e3779b97f4a7c15, HasKey: true}, at)
+		for len(todo) > 0 {
+			e := todo[0]
+			todo = todo[1:]
+			switch e.Do {
+			case Dial:
+				todo = append(todo, step(HopDialed{e.Leg, true}, at)...)
+			case Forward:
+				got = got || s.legs[e.Leg].Hop.ID == id
+				todo = append(todo, step(HopWritten{Leg: e.Leg, OK: true}, at)...)
+				todo = append(todo, step(HopAnswered{Leg: e.Leg, Result: lg.OK, Keep: true}, at)...)
+			}
+		}
+		step(CallerClosed{*leg}, at)
+	}
+	return got
+}
+
+// TestWorkHolds guards against a request at a machine that may be out: before the first lease, once it is
+// marked, and at named ones once the lease has run out, however late the process looks at its clock.
+func TestWorkHolds(t *testing.T) {
+	s, step := settleWork(t)
+	now, leg := time.Hour, LegID(0)
+	if s.Ready() || s.reaches(step, 1, now, &leg) {
+		t.Error("served before the first lease")
+	}
+	f := holds.Facts[lg.ServerID]{Index: 3, Named: []lg.ServerID{1, 2}, Until: now + 3*time.Second,
+		Grace: time.Second, Marked: []holds.Mark[lg.ServerID]{{Machine: 1, Grant: 2}}}
+	step(Settled{f}, now)
+	if !s.Ready() || s.reaches(step, 1, now, &leg) || !s.reaches(step, 2, now, &leg) {
+		t.Error("a marked machine gets requests, or a named one none")
+	}
+	// Discovery that lists it as ready again changes nothing.
+	step(RoutesTold{lg.List{Kind: lg.FullList, Servers: []lg.Server{{ID: 1}, {ID: 2}, {ID: 3}}}}, now)
+	if s.reaches(step, 1, now, &leg) {
+		t.Error("discovery's word goes before what was settled")
+	}
+	// The process was paused for longer than its lease: the first event then is a request.
+	now += 10 * time.Second
+	if s.reaches(step, 2, now, &leg) || !s.reaches(step, 3, now, &leg) {
+		t.Error("a paused process begins at a machine that may be out")
+	}
+	f.Index, f.Marked, f.Named, f.Until = 4, nil, nil, now+3*time.Second
+	step(Settled{f}, now)
+	if !s.reaches(step, 1, now, &leg) || !s.reaches(step, 2, now, &leg) {
+		t.Error("not sent to again")
+	}
+}
+
+// TestWorkClear covers when nothing is left at a marked machine: not while a leg is there, also where
+// discovery has dropped the machine and listed it again; and what stays open after the lease is cut.
+func TestWorkClear(t *testing.T) {
+	for _, tc := range []struct{ relist, lapse bool }{{false, false}, {true, false}, {false, true}} {
+		s, step := settleWork(t)
+		now := time.Hour
+		f := holds.Facts[lg.ServerID]{Index: 3, Named: []lg.ServerID{1, 2, 3}, Until: now + time.Second,
+			Grace: time.Second}
+		step(Settled{f}, now)
+		step(CallerOpened{1}, now)
+		var at lg.ServerID
+		var hop LegID
+		for _, e := range step(CallerAsked{Leg: 1, Name: "a", Deadline: now + 10*time.Second}, now) {
+			if e.Do == Dial {
+				at, hop = e.Server, e.Leg
+			}
+		}
+		step(HopDialed{hop, true}, now)
+		step(HopWritten{Leg: hop, OK: true}, now)
+		f.Index, f.Marked = 4, []holds.Mark[lg.ServerID]{{Machine: at, Grant: 4}}
+		step(Settled{f}, now)
+		if tc.relist {
+			step(RoutesTold{lg.List{Kind: lg.Changes, Servers: []lg.Server{{ID: at, State: lg.Gone}}}}, now)
+			step(RoutesTold{lg.List{Kind: lg.Changes, Servers: []lg.Server{{ID: at}}}}, now)
+		}
+		cleared := func(effects []Effect) bool {
+			for _, e := range effects {
+				if e.Do == Stop && len(e.Payload.(Stopped).Clear) > 0 {
+					return true
+				}
+			}
+			return false
+		}
+		clear := false
+		for range 100 {
+			now += stopEvery / 2
+			clear = clear || cleared(step(Woken{}, now))
+		}
+		if clear || len(s.legs) != 1 {
+			t.Errorf("%+v: clear with a request there", tc)
+		}
+		if tc.lapse {
+			if now += 2 * time.Second; !cleared(step(Woken{}, now)) && !cleared(step(Woken{}, now+stopEvery)) {
+				t.Errorf("%+v: not cut after the lease and the longest deadline", tc)
+			}
+			continue
+		}
+		done := step(HopAnswered{Leg: hop, Result: lg.OK, Keep: true}, now)
+		if !cleared(append(done, step(Woken{}, now+2*stopEvery)...)) {
+			t.Errorf("%+v: never clear", tc)
+		}
+	}
+}
+
+// TestNoPeersCostNothing guards against work on a request's path where no proxies talk to each other.
+func TestNoPeersCostNothing(t *testing.T) {
+	s, err := New(testConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.work != nil {
+		t.Error("there is something to look at")
+	}
+	for _, e := range s.Step(time.Hour, Settled{holds.Facts[lg.ServerID]{Index: 1, Until: 1}}) {
+		if e.Do == Stop {
+			t.Error("facts were taken in")
+		}
+	}
+}
--- /dev/null
+++ b/internal/workorder/workorder_test.go
@@ -0,0 +1,166 @@
+package workorder
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// order is one over machines m0 to mn in two zones.
+func order(id string, n, most int) *Order {
+	o := &Order{ID: id, Most: most, Fleet: 10}
+	for i := range n {
+		o.Machines = append(o.Machines, Machine{ID: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%2), Kind: "k"})
+	}
+	return o
+}
+
+// TestWay covers a machine's way, with the guards on it.
+func TestWay(t *testing.T) {
+	s := New()
+	index := uint64(0)
+	apply := func(want string, c Command) {
+		t.Helper()
+		index++
+		err := s.Apply(index, c)
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Fatalf("entry %d: %v, want %q", index, err, want)
+		}
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	enough := &Fact{Left: 9, ZoneLeft: 3}
+	a, b := Key("a", 1), Key("b", 2)
+	apply("", Command{Kind: Join, Party: &Party{Name: "a", Inc: 1, Addr: "x"}})
+	apply("", Command{Kind: Submit, Call: "c1", Order: order("o", 2, 1)})
+	apply("", Command{Kind: Submit, Call: "c1", Order: order("o", 2, 1)}) // once
+	apply("in order", Command{Kind: Submit, Order: order("p", 2, 1)})
+	apply("does not know", Command{Kind: Grant, Machine: "m0", Fact: enough})
+	apply("", Command{Kind: Know, Notes: []Note{{Party: a, Index: 2}}})
+	apply("last room", Command{Kind: Grant, Machine: "m0", Fact: &Fact{Left: 9}})
+	apply("", Command{Kind: Grant, Machine: "m0", Fact: enough})
+	grant := index
+	apply("out already", Command{Kind: Grant, Machine: "m1", Fact: enough})
+	apply("may have something", Command{Kind: SetFree, Machine: "m0", Index: grant})
+	apply("", Command{Kind: Join, Party: &Party{Name: "b", Inc: 2, Addr: "y"}}) // knows with its first lease
+	apply("", Command{Kind: Clear, Notes: []Note{{Party: a, Machine: "m0", Index: grant - 1}}})
+	apply("may have something", Command{Kind: SetFree, Machine: "m0", Index: grant})
+	apply("", Command{Kind: GiveBack, Machine: "m0", Index: grant, Why: "room"})
+	apply("", Command{Kind: Grant, Machine: "m0", Fact: enough})
+	apply("another grant", Command{Kind: SetFree, Machine: "m0", Index: grant})
+	grant = index - 1
+	apply("may have something", Command{Kind: SetFree, Machine: "m0", Index: grant, Expired: []string{a}})
+	apply("", Command{Kind: Clear, Notes: []Note{{Party: a, Machine: "m0", Index: grant}}})
+	apply("", Command{Kind: Clear, Notes: []Note{{Party: b, Machine: "m0", Index: grant}}})
+	apply("", Command{Kind: SetFree, Machine: "m0", Index: grant})
+	apply("", Command{Kind: Cancel, Name: "o"})
+	if w := s.Active("m0"); w == nil || w.Step != Free || s.Active("m1") != nil {
+		t.Fatal("a cancelled order lets go of what is free, or keeps what waits")
+	}
+	apply("", Command{Kind: Return, Machine: "m0"})
+	apply("", Command{Kind: SetDone, Machine: "m0"})
+	apply("no order names", Command{Kind: SetOut, Machine: "m0"})
+	apply("", Command{Kind: Join, Party: &Party{Name: "a", Inc: 3, Addr: "x"}})
+	if !s.Parties[a].Gone || s.Parties[b].Gone {
+		t.Error("a process at the same address does not prove that the one before is gone, or another is")
+	}
+}
+
+// TestRandomEntries holds the invariants over entries drawn at random, also ones that make no sense, and that
+// a state restored from its words is the same.
+func TestRandomEntries(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := New()
+		id := rapid.SampledFrom([]string{"m0", "m1", "m2", "m3", "m9", ""})
+		for index := uint64(1); index < 80; index++ {
+			c := Command{Kind: Kind(rapid.IntRange(0, 22).Draw(r, "kind")), Machine: id.Draw(r, "machine"),
+				Name: rapid.SampledFrom([]string{"a", "b", "o1", "o2"}).Draw(r, "name"), Inc: 1,
+				Index: rapid.Uint64Range(0, 80).Draw(r, "index"), Fact: &Fact{Left: 9, ZoneLeft: 1},
+				Call: rapid.SampledFrom([]string{"", "", "c1", "c2"}).Draw(r, "call")}
+			switch c.Kind {
+			case Join:
+				c.Party = &Party{Name: c.Name, Inc: uint64(rapid.IntRange(1, 3).Draw(r, "inc")), Addr: "x"}
+			case Submit:
+				c.Order = order(c.Name, rapid.IntRange(1, 4).Draw(r, "n"), rapid.IntRange(0, 3).Draw(r, "most"))
+			case Know, Clear:
+				for p := range s.Parties {
+					c.Notes = append(c.Notes, Note{Party: p, Machine: c.Machine, Index: index - 1})
+					if w := s.Active(c.Machine); w != nil && c.Kind == Clear {
+						c.Notes[len(c.Notes)-1].Index = w.Granted
+					}
+				}
+			case SetFree, GiveBack:
+				if w := s.Active(c.Machine); w != nil {
+					c.Index = w.Granted
+				}
+			}
+			steps := s.Steps
+			if err := s.Apply(index, c); err != nil && s.Steps != steps {
+				r.Fatalf("%+v was turned down and took a step", c)
+			}
+			if err := s.Check(); err != nil {
+				r.Fatal(err)
+			}
+			if again, err := Restore(Encode(s)); err != nil || again.Digest() != s.Digest() {
+				r.Fatalf("restored as another: %v", err)
+			}
+		}
+	})
+}
+
+// TestNext covers whom a leader would grant: the sick first, zones by turns, nothing without room.
+func TestNext(t *testing.T) {
+	s := New()
+	if err := s.Apply(1, Command{Kind: Submit, Order: order("o", 4, 4)}); err != nil {
+		t.Fatal(err)
+	}
+	v := View{Machines: map[string]Seen{}, Expired: func(string) bool { return false }}
+	for i := range 8 {
+		m := Seen{Machine: Machine{ID: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%2)}, Ready: true, Sick: i == 3}
+		v.Machines[m.ID] = m
+	}
+	var got []string
+	for index := uint64(2); index < 6; index++ {
+		c := s.Next(v)
+		got = append(got, c.Machine)
+		if err := s.Apply(index, c); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Apply(index, Command{Kind: SetFree, Machine: c.Machine, Index: index}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := "[m3 m0 m1 m2]"; fmt.Sprint(got) != want {
+		t.Errorf("went %v, want %s", got, want)
+	}
+	for name, v := range map[string]View{"old": {Now: time.Hour}, "refused": {Refused: 0.02}} {
+		if s.Blocked(v) == "" {
+			t.Error("granted with " + name)
+		}
+	}
+}
+
+// TestOrdersThatMakeNoSense guards against an order that would take out more than was meant.
+func TestOrdersThatMakeNoSense(t *testing.T) {
+	v := View{Machines: map[string]Seen{"m0": {Machine: Machine{ID: "m0", Zone: "z0", Kind: "k"}, Ready: true}}}
+	for want, sp := range map[string]Spec{
+		"machines[0]": {ID: "o", Machines: []string{"x"}, Most: 1},
+		"zones[0]":    {ID: "o", Zones: []string{"x"}, Most: 1},
+		"models[0]":   {ID: "o", Models: []string{"x"}, Most: 1},
+		"most: 0":     {ID: "o", All: true},
+		"most: 2":     {ID: "o", All: true, Most: 2},
+		"keep":        {ID: "o", All: true, Most: 1, Keep: 1},
+		"machines: n": {ID: "o", Most: 1},
+		"id":          {All: true, Most: 1},
+		"done":        {ID: "o", All: true, Most: 1, Done: "maybe"},
+		"out-for":     {ID: "o", All: true, Most: 1, OutFor: -1},
+	} {
+		if _, err := sp.Resolve(v); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%+v: %v, want %q", sp, err, want)
+		}
+	}
+}
--- a/internal/workplay/play.go
+++ b/internal/workplay/play.go
@@ -24,8 +24,9 @@
 	Faults   int // 0: 4 to 14
 	Trouble  time.Duration
 	Trace    func(string)
-	// Break takes a guard out, to show that the judge finds what it guards against.
-	Break Break
+	// Break and Without take a guard out, to show that the judge finds what it guards against.
+	Break   Break
+	Without council.Guard
 }
 
 // Break is a guard that is taken out.
@@ -35,8 +36,6 @@
 const (
 	Whole       Break = iota
 	NoLapse           // a proxy whose lease has run out goes on as before
-	NoConfirm         // a leader answers without asking whether it still leads
-	EarlyExpiry       // the leader takes leases to be over as soon as they are not renewed
 	EarlyKnows        // a proxy says that it knows before its reducer does
 	NoClear           // proxies say that they are clear with requests in flight
 	ForgetVotes       // a disk forgets what it has confirmed
@@ -254,7 +253,8 @@
 	}
 	c, err := council.New(council.Config{Name: p.name, Inc: p.inc, Addr: "a-" + p.name, Founders: w.founders(),
 		Peers: peers, Grace: grace, Seed: w.rng.Uint64(), ReplaceAfter: 8 * time.Second, WarmAfter: time.Second,
-		ID: back.ID, Boot: back.Boot, Fresh: back.Fresh, Saved: back.Saved, Note: back.Note})
+		Without: w.cfg.Without,
+		ID:      back.ID, Boot: back.Boot, Fresh: back.Fresh, Saved: back.Saved, Note: back.Note})
 	if err != nil {
 		w.report.Fault = fmt.Errorf("%s does not start: %w", p.name, err)
 		return
--- a/internal/workplay/play_test.go
+++ b/internal/workplay/play_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"math/rand/v2"
 	"testing"
+
+	"lilacglade/internal/council"
 )
 
 var (
@@ -47,3 +49,31 @@
 		t.Errorf("only %d machines were told free", frees)
 	}
 }
+
+// TestGuardsMatter takes one guard out at a time: some schedule must then break a promise, and be found.
+func TestGuardsMatter(t *testing.T) {
+	for name, cfg := range map[string]Config{
+		"lapse":        {Break: NoLapse},
+		"reducer":      {Break: EarlyKnows},
+		"clear":        {Break: NoClear},
+		"disk":         {Break: ForgetVotes},
+		"cut":          {Break: NoCut},
+		"confirm":      {Without: council.Confirm},
+		"lead wait":    {Without: council.LeadWait},
+		"lease wait":   {Without: council.LeaseWait},
+		"grace wait":   {Without: council.GraceWait},
+		"sent count":   {Without: council.SentCount},
+		"boot compare": {Without: council.BootCompare},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed < 2000; seed++ {
+				cfg.Seed = seed
+				if r := play(t, cfg); r.Fault != nil {
+					t.Logf("seed %d: %v", seed, r.Fault)
+					return
+				}
+			}
+			t.Error("no schedule finds it")
+		})
+	}
+}
