Let proxies' own machines go out in turn, and check operators' calls for an order that explains them

Need: an order over all proxies, each drained and started anew, voters one at a time, a leader yielding first; calls of operators must look as if carried out one after the other whichever proxy got them. Change: a work can be a proxy's machine; only that proxy has to stop: it is not ready, closes legs with their answers, says that it is empty when nothing is open, and refuses from then on.

--- /dev/null
+++ b/cmd/lilalab/fleet.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+
+	"lilacglade/internal/faults"
+	"lilacglade/internal/workplay"
+)
+
+// fleetCommand plays several proxies that talk to each other: real processes from a scenario, or the same
+// state machines in virtual time.
+func fleetCommand(out io.Writer) *cobra.Command {
+	var plays, proxies int
+	var seed uint64
+	var steps bool
+	c := &cobra.Command{Use: "fleet [FILE]",
+		Short: "Play proxies that take machines out for work; fails when a promise was broken",
+		Args:  cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return playFleet(out, seed, plays, proxies, steps)
+			}
+			if program == "" {
+				return errors.New("fleet: --program: not set")
+			}
+			raw, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			var sc faults.Scenario
+			if err := yaml.UnmarshalWithOptions(raw, &sc, yaml.DisallowUnknownField()); err != nil {
+				return fmt.Errorf("%s: %s", args[0], yaml.FormatError(err, false, false))
+			}
+			dir, err := os.MkdirTemp("", "fleet")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			report, err := faults.Run(c.Context(), sc, program, dir, func(s string) { fmt.Fprintln(out, s) })
+			o := report.Outcomes
+			fmt.Fprintf(out, "%d asked, %d served, %d refused, %d failed, %d lost, %d open at a process that was "+
+				"killed or paused, %d at a closed door\n",
+				o.Asked, o.Served, o.Refused, o.Failed, o.Lost, o.Excused, o.Unmet)
+			fmt.Fprintf(out, "%d machines told free, %d bytes between proxies in %v\n", report.Frees, report.Peers,
+				report.Ran.Round(1e6))
+			return err
+		}}
+	c.Flags().IntVar(&plays, "plays", 100, "schedules to play in virtual time")
+	c.Flags().IntVar(&proxies, "proxies", 0, "proxies of each (default: 3 to 9, drawn)")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the first schedule")
+	c.Flags().BoolVar(&steps, "steps", false, "print each step")
+	return c
+}
+
+// playFleet plays schedules in virtual time.
+func playFleet(out io.Writer, seed uint64, plays, proxies int, steps bool) error {
+	var total workplay.Report
+	show := progress("schedules", plays)
+	for i := range plays {
+		cfg := workplay.Config{Seed: seed + uint64(i), Proxies: proxies}
+		if steps {
+			cfg.Trace = func(s string) { fmt.Fprintln(out, s) }
+		}
+		r := seeded(cfg)
+		if r.Fault != nil {
+			return fmt.Errorf("seed %d: %w", cfg.Seed, r.Fault)
+		}
+		total.Frees += r.Frees
+		total.Requests += r.Requests
+		total.Messages += r.Messages
+		total.Bytes += r.Bytes
+		total.Took = max(total.Took, r.Took)
+		show(i+1, plays)
+	}
+	fmt.Fprintf(out, "%d schedules: %d machines told free, %d requests, %d messages of %d bytes; all orders "+
+		"through %v after the last fault at the latest\n", plays, total.Frees, total.Requests, total.Messages,
+		total.Bytes/max(1, total.Messages), total.Took)
+	return nil
+}
+
+// seeded plays with the agreement library's random numbers drawn from the play's seed, too: it takes them
+// from the system's reader, so only one play runs at a time.
+func seeded(cfg workplay.Config) workplay.Report {
+	var key [32]byte
+	binary.LittleEndian.PutUint64(key[:], cfg.Seed)
+	old := crand.Reader
+	defer func() { crand.Reader = old }()
+	crand.Reader = rand.NewChaCha8(key)
+	return workplay.Play(cfg)
+}
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -313,6 +313,15 @@
 		m.Sick = 2*avoided[id] > tell // nothing follows from one peer's word
 		v.Machines[id] = m
 	}
+	for _, p := range c.rep.Work.Parties {
+		if p.Gone {
+			continue
+		}
+		id := workorder.ProxyID(p.Name)
+		at, ok := c.lead.renewed[p.Key()]
+		v.Machines[id] = workorder.Seen{Machine: workorder.Machine{ID: id, Proxy: p.Name, Weight: 1},
+			Ready: ok && c.now-at < 2*every, Voter: slices.Contains(c.core.Voters(), p.ID)}
+	}
 	for id, s := range c.lead.steps {
 		v.Since[id] = s.at
 	}
@@ -321,6 +330,9 @@
 
 // steer sees to the voters: as many as there were founders, one change at a time, each proxy at most once.
 func (c *Council) steer() {
+	if w := c.rep.Work.Active(workorder.ProxyID(c.cfg.Name)); w != nil && w.Step.Marked() {
+		c.core.Yield() // a leader whose own machine goes out gives up its lead first
+	}
 	if len(c.lead.want) > 0 {
 		c.confirm()
 	}
--- a/internal/faults/clients.go
+++ b/internal/faults/clients.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,7 +30,8 @@
 	out      Outcomes
 	hurting  bool      // the process is being killed, paused or let go on
 	hurt     time.Time // and when that was over last
-	admitted int       // the start of the process that was ready once: clients come from then on
+	away     atomic.Bool
+	admitted int // the start of the process that was ready once: clients come from then on
 }
 
 // disturb notes that what is open at the process may get no answer, from its call with true to that with
@@ -42,6 +44,9 @@
 
 // admits tells whether the process was ready once since it was started, as a front does.
 func (c *clients) admits() bool {
+	if c.away.Swap(false) {
+		c.admitted = 0
+	}
 	if starts := c.proc.started(); c.admitted != starts && !c.proc.paused() && c.proc.Ready() {
 		c.admitted = starts
 	}
@@ -134,6 +139,9 @@
 	res, err := transport.RoundTrip(req)
 	var got []byte
 	if err == nil {
+		if res.Close { // a front goes elsewhere until the process is ready again
+			c.away.Store(true)
+		}
 		got, err = io.ReadAll(res.Body)
 		res.Body.Close()
 	}
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -73,6 +73,8 @@
 	calls  map[string]error  // what came of operators' calls
 	open   sync.WaitGroup
 	base   map[string]int // requests served when the step began
+	// renewed has the steps at which proxies were ended and started anew
+	renewed map[uint64]bool
 }
 
 const (
@@ -84,7 +86,8 @@
 // step whose time never came.
 func Run(ctx context.Context, sc Scenario, binary, dir string, log func(string)) (Report, error) {
 	r := &Rig{sc: sc, dir: dir, log: log, relays: map[[2]string]*Relay{}, judge: workorder.NewJudge(),
-		status: map[string]string{}, named: map[string]string{}, calls: map[string]error{}, began: time.Now()}
+		status: map[string]string{}, named: map[string]string{}, calls: map[string]error{}, began: time.Now(),
+		renewed: map[uint64]bool{}}
 	if r.sc.Patient == 0 {
 		r.sc.Patient = patience
 	}
@@ -297,6 +300,12 @@
 		if w.Step != workorder.Free {
 			continue
 		}
+		if w.Machine.Proxy != "" && !r.renewed[w.Number] {
+			r.renewed[w.Number] = true
+			r.open.Add(1)
+			go r.restart(w.Machine.Proxy)
+			continue
+		}
 		for _, m := range r.machines {
 			if m.ID == w.Machine.ID && m.Running() && float64(m.Started) == w.Machine.Started {
 				r.say("%s is told free by way of %s", m.ID, p.Name)
@@ -314,6 +323,21 @@
 	return nil
 }
 
+// restart is the staff at a proxy's own machine, which was told free: nobody may be harmed by its end.
+func (r *Rig) restart(name string) {
+	defer r.open.Done()
+	p, err := r.proc(name)
+	if err != nil {
+		r.wrong(err)
+		return
+	}
+	r.say("%s is told free: it is ended and started anew", name)
+	p.Signal(syscall.SIGTERM)
+	if err := p.Start(); err != nil {
+		r.wrong(err)
+	}
+}
+
 // on starts a machine anew.
 func (r *Rig) on(m *Machine) {
 	var err error
@@ -643,7 +667,7 @@
 
 func (r *Rig) submit(f []string) error {
 	if len(f) != 10 && len(f) != 12 {
-		return errors.New("want: submit ORDER at PROXIES most N keep PART machines IDS [out-for TIME]")
+		return errors.New("want: submit ORDER at PROXIES most N keep PART machines|proxies IDS [out-for TIME]")
 	}
 	outFor := time.Duration(0)
 	if len(f) == 12 {
@@ -652,7 +676,7 @@
 			return err
 		}
 	}
-	order := fmt.Sprintf(`{"id":%q,"most":%s,"keep":%s,"machines":["%s"],"out-for":%d}`, f[1], f[5], f[7],
+	order := fmt.Sprintf(`{"id":%q,"most":%s,"keep":%s,%q:["%s"],"out-for":%d}`, f[1], f[5], f[7], f[8],
 		strings.ReplaceAll(f[9], ",", `","`), outFor)
 	id := "submit-" + f[1]
 	return r.operate(id, fmt.Sprintf(`{"id":%q,"do":"submit","order":%s}`, id, order), f[3])
--- a/internal/legs/inbox.go
+++ b/internal/legs/inbox.go
@@ -79,6 +79,9 @@
 	stopping struct{}
 	alone    struct{} // the process before this one has ended
 	easing   struct{ leg *leg }
-	settled  struct{ facts holds.Facts[lg.ServerID] }
-	failed   struct{ err error }
+	settled  struct {
+		facts holds.Facts[lg.ServerID]
+		own   uint64
+	}
+	failed struct{ err error }
 )
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -322,7 +322,7 @@
 			p.know(known)
 		}
 	case settled:
-		p.step(proxystate.Settled{Facts: item.facts})
+		p.step(proxystate.Settled{Facts: item.facts, Own: item.own})
 	case easing:
 		if !item.leg.parted && !item.leg.busy && item.leg.quiet() {
 			p.step(proxystate.CallerQuiet{Leg: item.leg.id})
@@ -682,7 +682,7 @@
 		p.published(e.Payload.(*proxystate.Figures))
 	case proxystate.Stop:
 		stopped := e.Payload.(proxystate.Stopped)
-		p.peers.Stopped(stopped.Index, stopped.Clear)
+		p.peers.Stopped(stopped.Index, stopped.Clear, stopped.Own)
 	case proxystate.Log:
 		log.Print(e.Text)
 	case proxystate.Finish:
--- a/internal/legs/work.go
+++ b/internal/legs/work.go
@@ -24,7 +24,7 @@
 	}
 	p.peers, err = peers.Start(cfg, peers.Options{Name: node.Name, Seed: node.Seed, Grace: longest,
 		WarmAfter: p.set.WarmWithin, Now: p.now, ID: routeset.ID,
-		Facts: func(f holds.Facts[lg.ServerID]) { p.inbox.post(settled{f}) }})
+		Facts: func(f holds.Facts[lg.ServerID], own uint64) { p.inbox.post(settled{f, own}) }})
 	return err
 }
 
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -38,7 +38,7 @@
 	name    string
 	id      func(string) lg.ServerID
 	now     func() time.Duration
-	facts   func(holds.Facts[lg.ServerID])
+	facts   func(f holds.Facts[lg.ServerID], own uint64)
 	ln      net.Listener
 	disk    *agree.Disk
 	council *council.Council
@@ -69,7 +69,9 @@
 	WarmAfter time.Duration
 	Now       func() time.Duration              // monotonic
 	ID        func(instance string) lg.ServerID // the number of a machine
-	Facts     func(holds.Facts[lg.ServerID])    // gets what holds, from the node's own goroutine
+	// Facts gets what holds, from the node's own goroutine. Own is the grant by which this proxy's own machine
+	// is to go out; 0: it isn't.
+	Facts func(f holds.Facts[lg.ServerID], own uint64)
 }
 
 // Start opens the disk and the socket and takes part from then on.
@@ -265,23 +267,36 @@
 func (n *Node) tell(e council.Facts) {
 	f := holds.Facts[lg.ServerID]{Index: e.Index, Until: e.Until, Grace: e.Grace}
 	names := map[lg.ServerID]string{}
+	own := uint64(0)
 	for _, m := range e.Marked {
+		if m.Machine == workorder.ProxyID(n.name) {
+			own = m.Grant
+		}
+		if workorder.IsProxy(m.Machine) {
+			continue // nobody sends there from here
+		}
 		id := n.id(m.Machine)
 		names[id] = m.Machine
 		f.Marked = append(f.Marked, holds.Mark[lg.ServerID]{Machine: id, Grant: m.Grant})
 	}
 	for _, m := range e.Named {
-		f.Named = append(f.Named, n.id(m))
+		if !workorder.IsProxy(m) {
+			f.Named = append(f.Named, n.id(m))
+		}
 	}
 	n.mu.Lock()
 	n.names = names
 	n.mu.Unlock()
-	n.facts(f)
+	n.facts(f, own)
 }
 
 // Stopped takes what the reducer says.
-func (n *Node) Stopped(index uint64, clear []holds.Mark[lg.ServerID]) {
+// Own is the grant by which this proxy's own machine goes out and nothing is open here any more; 0: it isn't.
+func (n *Node) Stopped(index uint64, clear []holds.Mark[lg.ServerID], own uint64) {
 	ev := council.Stopped{Index: index}
+	if own > 0 {
+		ev.Clear = append(ev.Clear, workorder.Mark{Machine: workorder.ProxyID(n.name), Grant: own})
+	}
 	n.mu.Lock()
 	for _, m := range clear {
 		if name, ok := n.names[m.Machine]; ok {
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -81,7 +81,7 @@
 		return
 	}
 	switch {
-	case c.over && len(s.callers) > s.cfg.MaxCallers:
+	case s.outgoing() && s.work.closed, c.over && len(s.callers) > s.cfg.MaxCallers:
 		s.ended(s.began(s.counts.classes[ev.Class]), Busy)
 		s.reply(c.id, Effect{Verdict: Busy, Last: true})
 		return
@@ -178,7 +178,7 @@
 	}
 	s.phase(c, callerAnswering)
 	c.asked = true
-	c.last = c.last || e.Last || s.stopping
+	c.last = c.last || e.Last || s.stopping || s.outgoing()
 	e.Do, e.Leg, e.Last, e.At = AnswerCaller, id, c.last, s.now+takeWithin
 	s.do(e)
 }
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -333,7 +333,7 @@
 
 // ready tells whether there is a next hop that takes requests.
 func (s *State) ready() bool {
-	return !s.stopping && (s.confirmed || s.now >= s.cfg.Confirm) && s.pool.Ready()
+	return !s.stopping && !s.outgoing() && (s.confirmed || s.now >= s.cfg.Confirm) && s.pool.Ready()
 }
 
 // Ready tells whether this process can serve.
@@ -508,7 +508,7 @@
 // eased ends sending on an idle leg on which nothing has come. Guards against closing a leg under a
 // request that has come and is not read yet: it gets its answer, with which the leg closes.
 func (s *State) eased(id LegID) {
-	if c := s.callers[id]; c != nil && c.phase == callerIdle && s.drained {
+	if c := s.callers[id]; c != nil && c.phase == callerIdle && (s.drained || s.outgoing()) {
 		s.part(c)
 	}
 }
--- a/internal/proxystate/work.go
+++ b/internal/proxystate/work.go
@@ -12,7 +12,11 @@
 const stopEvery = 20 * time.Millisecond
 
 // Settled brings what the proxies have settled among themselves about machines that are taken out for work.
-type Settled struct{ Facts holds.Facts[lg.ServerID] }
+// Own is the grant by which this proxy's own machine is to go out; 0: it isn't.
+type Settled struct {
+	Facts holds.Facts[lg.ServerID]
+	Own   uint64
+}
 
 func (Settled) event() {}
 
@@ -21,6 +25,7 @@
 type Stopped struct {
 	Index uint64
 	Clear []holds.Mark[lg.ServerID]
+	Own   uint64 // nothing is open here any more, of this grant of the proxy's own machine
 }
 
 // work is the machines that other proxies, too, take out for work. With no peers there is none.
@@ -31,6 +36,8 @@
 	told   Stopped                   // last
 	due    time.Duration             // when the clock has the next look at the lease
 	polled bool                      // the clock has the next look at what is open
+	own    uint64                    // the grant by which this proxy's own machine goes out
+	closed bool                      // it has said that nothing is open here: it takes nothing more
 }
 
 func newWork() *work {
@@ -68,11 +75,40 @@
 	if s.work == nil {
 		return
 	}
-	s.work.set.Told(ev.Facts)
+	w := s.work
+	w.set.Told(ev.Facts)
+	if ev.Own != w.own {
+		begins := w.own == 0
+		if w.own, w.closed = ev.Own, false; begins {
+			s.clock.add(s.now+drainFor, s.emptying)
+		}
+		s.readiness()
+	}
 	s.lookWork()
 	s.stopped()
 }
 
+// outgoing tells whether this proxy's own machine is to go out.
+func (s *State) outgoing() bool { return s.work != nil && s.work.own > 0 }
+
+// emptying lets go of idle callers while the proxy's own machine is to go out: each answer is its leg's last,
+// and who asks for readiness is told to go elsewhere.
+func (s *State) emptying() {
+	if !s.outgoing() {
+		return
+	}
+	s.clock.add(s.now+drainEvery, s.emptying)
+	for _, c := range inOrder(s.callers) {
+		if c.phase == callerIdle {
+			s.do(Effect{Do: EaseCaller, Leg: c.id})
+		}
+	}
+	if w := s.work; !w.closed && len(s.requests) == 0 && !s.answering() {
+		w.closed = true // from here on everything is refused, until the process ends or the grant does
+		s.stopped()
+	}
+}
+
 // lookWork has the lease looked at. It comes before every event: a process that was paused for longer than
 // its lease must not begin anything at a machine that may be out by now, whatever it was just doing.
 func (s *State) lookWork() {
@@ -148,7 +184,10 @@
 func (s *State) stopped() {
 	w := s.work
 	now := Stopped{Index: w.set.Index(), Clear: w.set.Clear(s.openAt)}
-	if now.Index != w.told.Index || !slices.Equal(now.Clear, w.told.Clear) {
+	if w.closed {
+		now.Own = w.own
+	}
+	if now.Index != w.told.Index || now.Own != w.told.Own || !slices.Equal(now.Clear, w.told.Clear) {
 		w.told = now
 		s.do(Effect{Do: Stop, Payload: now})
 	}
--- a/internal/proxystate/work_test.go
+++ b/internal/proxystate/work_test.go
@@ -57,7 +57,7 @@
 	}
 	f := holds.Facts[lg.ServerID]{Index: 3, Named: []lg.ServerID{1, 2}, Until: now + 3*time.Second,
 		Grace: time.Second, Marked: []holds.Mark[lg.ServerID]{{Machine: 1, Grant: 2}}}
-	step(Settled{f}, now)
+	step(Settled{Facts: f}, now)
 	if !s.Ready() || s.reaches(step, 1, now, &leg) || !s.reaches(step, 2, now, &leg) {
 		t.Error("a marked machine gets requests, or a named one none")
 	}
@@ -72,7 +72,7 @@
 		t.Error("a paused process begins at a machine that may be out")
 	}
 	f.Index, f.Marked, f.Named, f.Until = 4, nil, nil, now+3*time.Second
-	step(Settled{f}, now)
+	step(Settled{Facts: f}, now)
 	if !s.reaches(step, 1, now, &leg) || !s.reaches(step, 2, now, &leg) {
 		t.Error("not sent to again")
 	}
@@ -86,7 +86,7 @@
 		now := time.Hour
 		f := holds.Facts[lg.ServerID]{Index: 3, Named: []lg.ServerID{1, 2, 3}, Until: now + time.Second,
 			Grace: time.Second}
-		step(Settled{f}, now)
+		step(Settled{Facts: f}, now)
 		step(CallerOpened{1}, now)
 		var at lg.ServerID
 		var hop LegID
@@ -98,7 +98,7 @@
 		step(HopDialed{hop, true}, now)
 		step(HopWritten{Leg: hop, OK: true}, now)
 		f.Index, f.Marked = 4, []holds.Mark[lg.ServerID]{{Machine: at, Grant: 4}}
-		step(Settled{f}, now)
+		step(Settled{Facts: f}, now)
 		if tc.relist {
 			step(RoutesTold{lg.List{Kind: lg.Changes, Servers: []lg.Server{{ID: at, State: lg.Gone}}}}, now)
 			step(RoutesTold{lg.List{Kind: lg.Changes, Servers: []lg.Server{{ID: at}}}}, now)
@@ -132,6 +132,60 @@
 	}
 }
 
+// TestOwnMachineGoesOut covers a proxy that is to go out itself: it is not ready, serves what still comes,
+// each answer its leg's last, and says that it is empty only when it is; from then on it takes nothing.
+func TestOwnMachineGoesOut(t *testing.T) {
+	s, step := settleWork(t)
+	now := time.Hour
+	f := holds.Facts[lg.ServerID]{Index: 3, Until: now + time.Minute, Grace: time.Second}
+	step(Settled{Facts: f}, now)
+	step(CallerOpened{1}, now)
+	step(CallerOpened{2}, now)
+	var hop LegID
+	for _, e := range step(CallerAsked{Leg: 1, Name: "a", Deadline: now + 10*time.Second}, now) {
+		if e.Do == Dial {
+			hop = e.Leg
+		}
+	}
+	step(HopDialed{hop, true}, now)
+	step(HopWritten{Leg: hop, OK: true}, now)
+	f.Index = 4
+	step(Settled{Facts: f, Own: 4}, now)
+	empty := func(long time.Duration) (got bool) {
+		for end := now + long; now < end; now += drainEvery {
+			for _, e := range step(Woken{}, now) {
+				got = got || e.Do == Stop && e.Payload.(Stopped).Own == 4
+				if e.Do == EaseCaller {
+					step(CallerQuiet{e.Leg}, now)
+				}
+			}
+		}
+		return got
+	}
+	if s.Ready() || empty(time.Second) {
+		t.Error("ready, or empty with a request in work")
+	}
+	for _, e := range step(HopAnswered{Leg: hop, Result: lg.OK, Keep: true}, now) {
+		if e.Do == AnswerCaller && !e.Last {
+			t.Error("the leg stays open behind the answer")
+		}
+	}
+	step(CallerWritten{Leg: 1, OK: true}, now)
+	if !empty(2 * time.Second) {
+		t.Error("never empty")
+	}
+	step(CallerOpened{3}, now)
+	for _, e := range step(CallerAsked{Leg: 3, Name: "b", Deadline: now + 10*time.Second}, now) {
+		if e.Do == Dial || e.Do == AnswerCaller && e.Verdict != Busy {
+			t.Error("takes a request after it was empty")
+		}
+	}
+	f.Index = 5
+	if step(Settled{Facts: f}, now); !s.Ready() {
+		t.Error("not ready again after the order was given up")
+	}
+}
+
 // TestNoPeersCostNothing guards against work on a request's path where no proxies talk to each other.
 func TestNoPeersCostNothing(t *testing.T) {
 	s, err := New(testConfig())
@@ -141,7 +195,7 @@
 	if s.work != nil {
 		t.Error("there is something to look at")
 	}
-	for _, e := range s.Step(time.Hour, Settled{holds.Facts[lg.ServerID]{Index: 1, Until: 1}}) {
+	for _, e := range s.Step(time.Hour, Settled{Facts: holds.Facts[lg.ServerID]{Index: 1, Until: 1}}) {
 		if e.Do == Stop {
 			t.Error("facts were taken in")
 		}
--- a/internal/workorder/next.go
+++ b/internal/workorder/next.go
@@ -10,8 +10,9 @@
 // Seen is what a leader knows of one machine.
 type Seen struct {
 	Machine
-	Ready bool // discovery lists it as ready
+	Ready bool // discovery lists it as ready; of a proxy: it was heard lately
 	Sick  bool // most proxies that tell avoid it
+	Voter bool // a proxy that votes
 }
 
 // View is what a leader knows of the fleet. What it does not know for sure is left out.
@@ -45,14 +46,15 @@
 
 // fact is what staying without a machine would leave.
 func (s *State) fact(w *Work, v View) *Fact {
-	f := &Fact{}
+	f := &Fact{Voter: v.Machines[w.Machine.ID].Voter}
 	for id, m := range v.Machines {
 		a := s.Active(id)
-		if id == w.Machine.ID || !m.Ready || m.Sick || a != nil && a.Step.gone() {
+		if id == w.Machine.ID || !m.Ready || m.Sick || a != nil && a.Step.gone() ||
+			(m.Proxy == "") != (w.Machine.Proxy == "") {
 			continue
 		}
 		f.Left += weight(m.Machine)
-		if m.Zone == w.Machine.Zone {
+		if m.Zone == w.Machine.Zone || m.Proxy != "" {
 			f.ZoneLeft++
 		}
 	}
@@ -66,16 +68,26 @@
 	return 1
 }
 
-// Fleet is the weight of the machines in service.
-func (v View) Fleet() (sum float64) {
+// Fleet is the weight of the machines in service, or of the proxies.
+func (v View) Fleet(proxies bool) (sum float64) {
 	for _, m := range v.Machines {
-		if m.Ready {
+		if m.Ready && (m.Proxy != "") == proxies {
 			sum += weight(m.Machine)
 		}
 	}
 	return sum
 }
 
+// count is how many machines, or proxies, are known.
+func (v View) count(proxies bool) (n int) {
+	for _, m := range v.Machines {
+		if (m.Proxy != "") == proxies {
+			n++
+		}
+	}
+	return n
+}
+
 // Next is what a leader proposes next, Kind Nothing if there is nothing to do. Sick machines go first, then
 // zones take turns; what came first in its order breaks ties, so that the same facts give the same choice.
 func (s *State) Next(v View) Command {
@@ -102,6 +114,11 @@
 			}
 		case Free, Out:
 			anew := listed && m.Ready && m.Started > w.Machine.Started
+			if w.Machine.Proxy != "" {
+				anew = slices.ContainsFunc(s.sorted(), func(p *Party) bool {
+					return p.Name == w.Machine.Proxy && p.Joined > w.Granted
+				})
+			}
 			if anew && !o.Said {
 				return Command{Kind: Return, Machine: w.Machine.ID, Why: "it has started anew"}
 			}
--- a/internal/workorder/spec.go
+++ b/internal/workorder/spec.go
@@ -18,6 +18,8 @@
 	MostKind int           `json:"most-model,omitempty" yaml:"most-model" cbor:"8,keyasint,omitempty"`
 	Keep     float64       `json:"keep" yaml:"keep" cbor:"9,keyasint"`
 	OutFor   time.Duration `json:"out-for,omitempty" yaml:"out-for" cbor:"10,keyasint,omitempty"`
+	Proxies  []string      `json:"proxies,omitempty" yaml:"proxies" cbor:"12,keyasint,omitempty"`
+	AllProxy bool          `json:"all-proxies,omitempty" yaml:"all-proxies" cbor:"13,keyasint,omitempty"`
 	Done     string        `json:"done,omitempty" yaml:"done" cbor:"11,keyasint,omitempty"` // restart or said
 }
 
@@ -27,16 +29,24 @@
 // Resolve makes an order of what staff want, by the machines that the leader knows. An error names the key.
 func (sp Spec) Resolve(v View) (*Order, error) {
 	o := &Order{ID: sp.ID, Most: sp.Most, MostZone: sp.MostZone, MostKind: sp.MostKind, Keep: sp.Keep,
-		Fleet: v.Fleet(), OutFor: sp.OutFor, Said: sp.Done == "said"}
+		Fleet: v.Fleet(sp.AllProxy || len(sp.Proxies) > 0), OutFor: sp.OutFor, Said: sp.Done == "said"}
 	if sp.Done != "" && sp.Done != "said" && sp.Done != "restart" {
 		return nil, fmt.Errorf("done: %q, want restart or said", sp.Done)
 	}
-	if len(v.Machines) == 0 {
+	proxies := sp.AllProxy || len(sp.Proxies) > 0
+	of := v.count(proxies)
+	if of == 0 {
 		return nil, fmt.Errorf("machines: the list of machines is not known yet")
 	}
 	zones, kinds := map[string]bool{}, map[string]bool{}
 	var ids []string
 	for id, m := range v.Machines {
+		if m.Proxy != "" {
+			if sp.AllProxy || slices.Contains(sp.Proxies, m.Proxy) {
+				ids = append(ids, id)
+			}
+			continue
+		}
 		zones[m.Zone], kinds[m.Kind] = true, true
 		if sp.All || slices.Contains(sp.Zones, m.Zone) || slices.Contains(sp.Models, m.Kind) {
 			ids = append(ids, id)
@@ -51,6 +61,11 @@
 			ids = append(ids, id)
 		}
 	}
+	for i, p := range sp.Proxies {
+		if _, ok := v.Machines[ProxyID(p)]; !ok {
+			return nil, fmt.Errorf("proxies[%d]: %q is not among the proxies", i, p)
+		}
+	}
 	for i, z := range sp.Zones {
 		if !zones[z] {
 			return nil, fmt.Errorf("zones[%d]: %q has no machine", i, z)
@@ -64,8 +79,8 @@
 	if len(ids) > maxMachines {
 		return nil, fmt.Errorf("machines: %d, at most %d in one order", len(ids), maxMachines)
 	}
-	if sp.Most > len(v.Machines) {
-		return nil, fmt.Errorf("most: %d of %d machines", sp.Most, len(v.Machines))
+	if sp.Most > of {
+		return nil, fmt.Errorf("most: %d of %d machines", sp.Most, of)
 	}
 	for _, id := range ids {
 		o.Machines = append(o.Machines, v.Machines[id].Machine)
--- a/internal/workorder/workorder.go
+++ b/internal/workorder/workorder.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -34,11 +35,11 @@
 
 func (s Step) String() string { return stepNames[min(int(s), len(stepNames)-1)] }
 
-// marked tells whether nothing new may be sent to a machine in this step.
-func (s Step) marked() bool { return s >= Granted && s <= Out || s == Failed }
+// Marked tells whether nothing new may be sent to a machine in this step.
+func (s Step) Marked() bool { return s >= Granted && s <= Out || s == Failed }
 
 // gone tells whether a machine in this step is missing to the fleet.
-func (s Step) gone() bool { return s.marked() || s == Returning }
+func (s Step) gone() bool { return s.Marked() || s == Returning }
 
 // Ended tells whether the order is through with a machine. A failed one is not: it stays named.
 func (s Step) Ended() bool { return s == Done || s == Cancelled }
@@ -50,8 +51,17 @@
 	Kind    string  `cbor:"3,keyasint,omitempty"`
 	Weight  float64 `cbor:"4,keyasint,omitempty"`
 	Started float64 `cbor:"5,keyasint,omitempty"` // Unix time in milliseconds; 0: long ago
+	Proxy   string  `cbor:"6,keyasint,omitempty"` // it is the machine of the proxy of that name
 }
 
+// ProxyID is the id of the machine of a proxy. Discovery's ids are other ones.
+func ProxyID(name string) string { return proxyPrefix + name }
+
+const proxyPrefix = "proxy:"
+
+// IsProxy tells whether an id is that of a proxy's machine.
+func IsProxy(id string) bool { return strings.HasPrefix(id, proxyPrefix) }
+
 // Order is staff's order.
 type Order struct {
 	ID       string        `cbor:"1,keyasint"`
@@ -77,8 +87,13 @@
 	Number  uint64          `cbor:"6,keyasint,omitempty"` // steps of all machines are counted together
 	Clear   map[string]bool `cbor:"7,keyasint,omitempty"` // parties that have nothing there, of this grant
 	Why     string          `cbor:"8,keyasint,omitempty"`
+	Voter   bool            `cbor:"9,keyasint,omitempty"` // a proxy's machine, and it voted when it was granted
 }
 
+// concerns tells whether a party has to know, and to stop, for a machine to go out: all may send to a
+// machine, but a proxy's own machine is between it and its callers.
+func (w *Work) concerns(p *Party) bool { return w.Machine.Proxy == "" || w.Machine.Proxy == p.Name }
+
 // Party is a process that may send to machines.
 type Party struct {
 	Name   string        `cbor:"1,keyasint"`
@@ -138,6 +153,7 @@
 type Fact struct {
 	Left     float64 `cbor:"1,keyasint"` // weight in service once the machine is out
 	ZoneLeft int     `cbor:"2,keyasint"` // machines in service in its zone then
+	Voter    bool    `cbor:"3,keyasint,omitempty"`
 }
 
 // Command is an entry.
@@ -231,7 +247,7 @@
 // Marked lists the machines to which nothing new may be sent.
 func (s *State) Marked() (marks []Mark) {
 	for _, w := range s.Works {
-		if w.Step.marked() {
+		if w.Step.Marked() {
 			marks = append(marks, Mark{w.Machine.ID, w.Granted})
 		}
 	}
@@ -426,6 +442,9 @@
 	}
 	seen := map[string]bool{}
 	for _, m := range o.Machines {
+		if (m.Proxy == "") != (o.Machines[0].Proxy == "") {
+			return errors.New("machines: proxies and album servers want an order each")
+		}
 		if m.ID == "" || seen[m.ID] {
 			return fmt.Errorf("machines: %q is empty or repeated", m.ID)
 		}
@@ -478,7 +497,7 @@
 func (s *State) to(w *Work, step Step, why string) {
 	s.Steps++
 	w.Step, w.Number, w.Why = step, s.Steps, why
-	if !step.marked() {
+	if !step.Marked() {
 		w.Clear = nil
 	}
 }
@@ -507,7 +526,13 @@
 		if err := s.May(w, c.Fact); err != nil {
 			return err
 		}
-		w.Granted, w.Clear, s.Turn = s.Index, nil, w.Machine.Zone
+		w.Granted, w.Clear, w.Voter, s.Turn = s.Index, nil, c.Fact.Voter, w.Machine.Zone
+	case Return:
+		if p := w.Machine.Proxy; p != "" && !slices.ContainsFunc(s.sorted(), func(o *Party) bool {
+			return o.Name == p && o.Joined > w.Granted
+		}) {
+			return fmt.Errorf("machine %q: proxy %s has not started anew", w.Machine.ID, p)
+		}
 	case SetFree:
 		if c.Index != w.Granted {
 			return fmt.Errorf("machine %q: of another grant", w.Machine.ID)
@@ -538,7 +563,7 @@
 	// Guards against a proxy that was cut off before it was told that the machine may go out: it would go on
 	// sending there after its lease has run out.
 	for _, p := range s.sorted() {
-		if !p.knows(w.Named) {
+		if w.concerns(p) && !p.knows(w.Named) {
 			return fmt.Errorf("proxy %s does not know of the order yet", p.Key())
 		}
 	}
@@ -562,6 +587,13 @@
 				a.Keep*a.Fleet)
 		}
 	}
+	if w.Machine.Proxy != "" && f.Voter {
+		for _, v := range s.Works {
+			if v.Voter && v.Step.gone() {
+				return fmt.Errorf("the voter %s is out, and voters go one at a time", v.Machine.Proxy)
+			}
+		}
+	}
 	if f.ZoneLeft < 1 {
 		return fmt.Errorf("it is the last room of zone %s", w.Machine.Zone)
 	}
@@ -590,10 +622,10 @@
 // grant (one that joins later knows of it with its first lease).
 func (s *State) Holding(w *Work, expired []string) string {
 	for _, p := range s.sorted() {
-		if p.Joined > w.Granted || w.Clear[p.Key()] || slices.Contains(expired, p.Key()) && p.knows(w.Named) {
-			continue
+		stopped := slices.Contains(expired, p.Key()) && p.knows(w.Named)
+		if w.concerns(p) && p.Joined <= w.Granted && !w.Clear[p.Key()] && !stopped {
+			return p.Key()
 		}
-		return p.Key()
 	}
 	return ""
 }
--- a/internal/workplay/faults.go
+++ b/internal/workplay/faults.go
@@ -180,6 +180,16 @@
 	if _, ok := w.calls[call.ID]; ok || tries > 60 {
 		return
 	}
+	if w.made[call.ID] == nil {
+		m := &Call{Kind: workorder.Submit, Began: w.now}
+		if call.Command != nil {
+			m.Kind, m.Order = call.Command.Kind, call.Command.Name
+		} else {
+			m.Order = call.Spec.ID
+		}
+		w.made[call.ID] = m
+		w.report.Calls = append(w.report.Calls, m)
+	}
 	for range 1 + w.rng.IntN(2) {
 		p := w.proxies[w.rng.IntN(len(w.proxies))]
 		if p.alive {
@@ -196,7 +206,7 @@
 	}
 	p := w.proxies[w.rng.IntN(len(w.proxies))]
 	lasts := w.between(200*time.Millisecond, 12*time.Second)
-	switch w.rng.IntN(11) {
+	switch w.rng.IntN(13) {
 	case 0, 1: // killed, within what it is doing; back with its disk
 		if w.rng.IntN(2) == 0 {
 			p = w.leader(p)
@@ -234,6 +244,23 @@
 			p.disk = newDisk(w.rng)
 			w.at(lasts, p.start)
 		}
+	case 11: // what is said to it comes late
+		late := w.between(300*time.Millisecond, 2500*time.Millisecond)
+		w.trace("%s hears all %v late", p.name, late)
+		for _, o := range w.proxies {
+			key := [2]string{o.name, p.name}
+			w.slow[key] = late
+			w.at(lasts, func() { delete(w.slow, key) })
+		}
+	case 12: // it comes back with an older copy of its disk
+		if p.old != nil && w.wholeBut(p) {
+			w.trace("%s comes back with an older disk", p.name)
+			p.kill()
+			p.disk, p.old = p.old, nil
+			w.at(lasts, p.start)
+		} else if p.alive {
+			p.old = p.disk.copy()
+		}
 	case 10: // it leaves, and comes back
 		if p.alive && !p.paused {
 			w.trace("%s leaves", p.name)
@@ -312,6 +339,7 @@
 	w.trace("all faults are over")
 	w.healed = true
 	clear(w.cut)
+	clear(w.slow)
 	w.loss = 0
 	began := w.now
 	for _, p := range w.proxies {
--- a/internal/workplay/play.go
+++ b/internal/workplay/play.go
@@ -50,9 +50,17 @@
 	Done     int // machines that came through their orders
 	Steps    int
 	Took     time.Duration // until all orders were through after the last fault was over; 0: not through
-	Grants   []time.Duration
 	Messages int
 	Bytes    int
+	Calls    []*Call
+}
+
+// Call is an operators' call as its callers saw it.
+type Call struct {
+	Kind         workorder.Kind
+	Order        string
+	Began, Ended time.Duration
+	Known, Done  bool // it was answered, and how
 }
 
 const (
@@ -95,6 +103,7 @@
 	loss     float64
 	judge    *workorder.Judge
 	calls    map[string]string // id -> what it gave
+	made     map[string]*Call
 	lastCall int
 	orders   []string
 	report   Report
@@ -133,7 +142,8 @@
 // Play plays one schedule.
 func Play(cfg Config) Report {
 	w := &world{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), judge: workorder.NewJudge(),
-		cut: map[[2]string]bool{}, slow: map[[2]string]time.Duration{}, calls: map[string]string{}}
+		cut: map[[2]string]bool{}, slow: map[[2]string]time.Duration{}, calls: map[string]string{},
+		made: map[string]*Call{}}
 	w.build()
 	w.run()
 	w.report.Requests, w.report.Frees = w.judge.Requests, w.judge.Frees
@@ -382,8 +392,8 @@
 			p.step(council.Stopped{Index: e.Index})
 		}
 		d := w.between(0, 5*time.Millisecond)
-		if w.cfg.Break == EarlyKnows && w.rng.IntN(4) == 0 {
-			d = 4 * time.Second
+		if w.cfg.Break == EarlyKnows && w.rng.IntN(2) == 0 {
+			d = 6 * time.Second
 		}
 		p.later(d, func() {
 			p.holds.Told(f)
@@ -398,6 +408,9 @@
 				w.report.Fault = fmt.Errorf("call %s gave %q, then %q", a.ID, was, got)
 			}
 			w.calls[a.ID] = got
+			if m := w.made[a.ID]; m != nil && !m.Known {
+				m.Known, m.Done, m.Ended = true, a.Done, w.now
+			}
 		}
 	case council.Retire:
 		w.trace("%s retires: %s", p.name, e.Why)
--- a/internal/workplay/play_test.go
+++ b/internal/workplay/play_test.go
@@ -6,7 +6,10 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/anishathalye/porcupine"
+
 	"lilacglade/internal/council"
+	"lilacglade/internal/workorder"
 )
 
 var (
@@ -43,6 +46,9 @@
 		}
 		frees += r.Frees
 		done += r.Done
+		if !linearizable(r.Calls) {
+			t.Fatalf("seed %d: the operators' calls have no order that explains their answers", seed)
+		}
 	}
 	t.Logf("%d schedules: %d machines told free, %d through", *plays, frees, done)
 	if frees < *plays/2 {
@@ -50,6 +56,75 @@
 	}
 }
 
+// Where an order stands for its callers.
+const (
+	unknown = iota
+	given
+	paused
+	ended
+)
+
+// linearizable tells whether there is one order of the calls, each between its beginning and its answer, in
+// which every answer makes sense. A call without an answer may have been carried out, at any time, or not.
+func linearizable(calls []*Call) bool {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{unknown} },
+		Step: func(state, in, out any) []any {
+			c, s := in.(*Call), state.(int)
+			may := s == given || s == paused
+			if c.Kind == workorder.Submit {
+				may = s == unknown
+			}
+			next := map[workorder.Kind]int{workorder.Submit: given, workorder.Pause: paused, workorder.Resume: given,
+				workorder.Cancel: ended}[c.Kind]
+			switch {
+			case !c.Known && may:
+				return []any{s, next}
+			case !c.Known, !c.Done && (!may || c.Kind == workorder.Submit): // its machines may be in another order
+				return []any{s}
+			case c.Done && may:
+				return []any{next}
+			}
+			return nil
+		},
+		Partition: func(history []porcupine.Operation) (parts [][]porcupine.Operation) {
+			by := map[string]int{}
+			for _, o := range history {
+				id := o.Input.(*Call).Order
+				if _, ok := by[id]; !ok {
+					by[id] = len(parts)
+					parts = append(parts, nil)
+				}
+				parts[by[id]] = append(parts[by[id]], o)
+			}
+			return parts
+		},
+	}
+	var history []porcupine.Operation
+	for i, c := range calls {
+		op := porcupine.Operation{ClientId: i, Input: c, Call: int64(c.Began), Return: int64(c.Ended)}
+		if !c.Known {
+			op.Return = int64(council.Forever)
+		}
+		history = append(history, op)
+	}
+	return porcupine.CheckOperations(model.ToModel(), history)
+}
+
+// TestHistoryCheck shows that a history that makes no sense is found: an order paused after its end.
+func TestHistoryCheck(t *testing.T) {
+	good := []*Call{{Kind: workorder.Submit, Order: "o", Began: 1, Ended: 2, Known: true, Done: true},
+		{Kind: workorder.Cancel, Order: "o", Began: 3, Ended: 9, Known: true, Done: true},
+		{Kind: workorder.Pause, Order: "o", Began: 4, Ended: 8, Known: true, Done: true}}
+	if !linearizable(good) {
+		t.Error("calls at once may go in either order")
+	}
+	good[2].Began, good[2].Ended = 10, 11
+	if linearizable(good) {
+		t.Error("paused after its end")
+	}
+}
+
 // TestGuardsMatter takes one guard out at a time: some schedule must then break a promise, and be found.
 func TestGuardsMatter(t *testing.T) {
 	for name, cfg := range map[string]Config{
