Name few machines ahead, so that a proxy that is cut off has room to go on with

Ruled out: readiness, clients, relays. Change: machines are named by entries of their own, at most as many ahead as may be out, and only while what is left without them is what the order keeps (workorder.MayName); voters with an older disk are found by what the leader has from them, too; random scenarios, their shrinking; the rig's ports lie under those that the system draws.

--- a/cmd/lilalab/fleet.go
+++ b/cmd/lilalab/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	crand "crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -8,6 +9,9 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
+	"sync"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
@@ -19,12 +23,15 @@
 // fleetCommand plays several proxies that talk to each other: real processes from a scenario, or the same
 // state machines in virtual time.
 func fleetCommand(out io.Writer) *cobra.Command {
-	var plays, proxies int
+	var plays, proxies, random, jobs int
 	var seed uint64
 	var steps bool
 	c := &cobra.Command{Use: "fleet [FILE]",
 		Short: "Play proxies that take machines out for work; fails when a promise was broken",
 		Args:  cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			if random > 0 {
+				return randomFleet(c.Context(), out, seed, random, jobs)
+			}
 			if len(args) == 0 {
 				return playFleet(out, seed, plays, proxies, steps)
 			}
@@ -54,6 +61,8 @@
 			return err
 		}}
 	c.Flags().IntVar(&plays, "plays", 100, "schedules to play in virtual time")
+	c.Flags().IntVar(&random, "random", 0, "scenarios drawn from seeds to play on real processes")
+	c.Flags().IntVar(&jobs, "jobs", 2, "of them at once")
 	c.Flags().IntVar(&proxies, "proxies", 0, "proxies of each (default: 3 to 9, drawn)")
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the first schedule")
 	c.Flags().BoolVar(&steps, "steps", false, "print each step")
@@ -86,6 +95,75 @@
 	return nil
 }
 
+// randomFleet plays random scenarios on real processes. The first that fails is shrunk and kept under found/.
+func randomFleet(ctx context.Context, out io.Writer, seed uint64, n, jobs int) error {
+	if program == "" {
+		return errors.New("fleet: --program: not set")
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	play := func(sc faults.Scenario, log func(string)) (faults.Report, error) {
+		dir, err := os.MkdirTemp("", "fleet")
+		if err != nil {
+			return faults.Report{}, err
+		}
+		defer os.RemoveAll(dir)
+		return faults.Run(ctx, sc, program, dir, log)
+	}
+	var mu sync.Mutex
+	var total faults.Report
+	var failed *faults.Scenario
+	var first error
+	next := 0
+	var wait sync.WaitGroup
+	for range max(1, jobs) {
+		wait.Go(func() {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				stop := i >= n || failed != nil
+				mu.Unlock()
+				if stop {
+					return
+				}
+				sc := faults.Random(seed + uint64(i))
+				r, err := play(sc, nil)
+				mu.Lock()
+				total.Frees += r.Frees
+				total.Ran += r.Ran
+				total.Outcomes.Asked += r.Outcomes.Asked
+				total.Outcomes.Lost += r.Outcomes.Lost
+				fmt.Fprintf(out, "%s: %d machines free, %v, %v\n", sc.Name, r.Frees, r.Ran.Round(time.Second), err)
+				if err != nil {
+					failed, first = &sc, err
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	fmt.Fprintf(out, "%d machines told free, %d requests, %d lost, %v of runs\n", total.Frees,
+		total.Outcomes.Asked, total.Outcomes.Lost, total.Ran.Round(time.Second))
+	if failed == nil {
+		return nil
+	}
+	less := faults.Shrink(ctx, *failed, func(sc faults.Scenario) bool {
+		_, err := play(sc, nil)
+		return err != nil
+	})
+	raw, err := yaml.Marshal(less)
+	if err != nil {
+		return errors.Join(first, err)
+	}
+	path := filepath.Join("found", failed.Name+".yaml")
+	if err := errors.Join(os.MkdirAll("found", 0o755), os.WriteFile(path, raw, 0o644)); err != nil {
+		return errors.Join(first, err)
+	}
+	return fmt.Errorf("%w\nkept, with %d of %d steps, as %s", first, len(less.Steps), len(failed.Steps), path)
+}
+
 // seeded plays with the agreement library's random numbers drawn from the play's seed, too: it takes them
 // from the system's reader, so only one play runs at a time.
 func seeded(cfg workplay.Config) workplay.Report {
--- a/internal/agree/core.go
+++ b/internal/agree/core.go
@@ -201,6 +201,28 @@
 	return ids
 }
 
+// Last is the index of the last entry that is in this one's log.
+func (c *Core) Last() uint64 {
+	last, err := c.store.LastIndex()
+	if err != nil {
+		return 0
+	}
+	return last
+}
+
+// Match is the last entry that a voter has confirmed to this leader; 0 where this one doesn't lead.
+func (c *Core) Match(id uint64) (match uint64) {
+	if !c.Leads() {
+		return 0
+	}
+	c.raw.WithProgress(func(voter uint64, _ raft.ProgressType, pr progress) {
+		if voter == id {
+			match = pr.Match
+		}
+	})
+	return match
+}
+
 // Voters lists the voters, of both sides while they are being changed.
 func (c *Core) Voters() []uint64 {
 	all := slices.Concat(c.conf.GetVoters(), c.conf.GetVotersOutgoing())
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -659,15 +659,36 @@
 				c.cfg.Boot))
 			return
 		}
-		c.agreed[e.From] = true
+		if last := c.lastIndex(); h.Match > last {
+			c.retire(fmt.Sprintf("the disk is older than what the leader knows of it (entry %d, not %d)", h.Match,
+				last))
+			return
+		}
+		if h.Leads == "" || h.Leads == e.From { // else the leader's own answer counts
+			c.agreed[e.From] = true
+		}
 	}
 	if h.Want {
 		seen := c.table.Boot(e.ID)
 		if b := c.rep.Work.Boots[e.From]; b.ID == e.ID {
 			seen = max(seen, b.Boot)
 		}
-		c.send(e.From, e.Addr, &Envelope{Hello: &Hello{Blank: c.blankNow(), Seen: seen, For: e.ID}})
+		a := &Hello{Blank: c.blankNow(), Seen: seen, For: e.ID}
+		if c.core != nil && !c.held {
+			if v, ok := c.voter(c.core.Leader()); ok && c.core.Leader() != 0 {
+				a.Leads = v.Name
+			}
+			a.Match = c.core.Match(e.ID)
+		}
+		c.send(e.From, e.Addr, &Envelope{Hello: a})
+	}
+}
+
+func (c *Council) lastIndex() uint64 {
+	if c.core == nil {
+		return 0
 	}
+	return c.core.Last()
 }
 
 func (c *Council) retire(why string) {
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -60,7 +60,9 @@
 		return
 	}
 	c.lead.said[key] = &said{c.now, r.Handled, r.Refused, r.Avoids}
-	news := func(w *workorder.Work) bool { return !w.Step.Ended() && w.Named > p.Knows && w.Named <= r.Knows }
+	news := func(w *workorder.Work) bool {
+		return !w.Step.Ended() && w.Named > max(p.Knows, p.Joined) && w.Named <= r.Knows
+	}
 	if slices.ContainsFunc(work.Works, news) {
 		c.lead.knows = append(c.lead.knows, workorder.Note{Party: key, Index: r.Knows})
 	}
--- a/internal/council/messages.go
+++ b/internal/council/messages.go
@@ -34,6 +34,8 @@
 	Want  bool   `cbor:"2,keyasint,omitempty"` // an answer is wanted
 	Seen  uint64 `cbor:"3,keyasint,omitempty"` // answer: the latest start known of the receiver's identity
 	For   uint64 `cbor:"4,keyasint,omitempty"` // answer: that identity
+	Match uint64 `cbor:"5,keyasint,omitempty"` // answer of a leader: the last entry known to be there
+	Leads string `cbor:"6,keyasint,omitempty"` // answer: who leads, as far as the sender knows
 }
 
 // Renew asks for a lease.
--- a/internal/faults/machine.go
+++ b/internal/faults/machine.go
@@ -30,7 +30,10 @@
 
 // NewMachine starts a machine at a new address.
 func NewMachine(id, zone, kind string, fault func(error)) (*Machine, error) {
-	m := &Machine{ID: id, Zone: zone, Kind: kind, fault: fault, runs: map[string]int{}, addr: "127.0.0.1:0"}
+	m := &Machine{ID: id, Zone: zone, Kind: kind, fault: fault, runs: map[string]int{}}
+	if err := m.Move(); err != nil {
+		return nil, err
+	}
 	return m, m.On()
 }
 
@@ -48,7 +51,7 @@
 		_ = m.trip.Close()
 		m.trip = nil
 	}
-	ln, err := net.Listen("tcp", m.addr)
+	ln, err := listen(m.addr)
 	if err != nil {
 		return err
 	}
@@ -130,7 +133,7 @@
 	m.gen++
 	m.mu.Unlock()
 	_ = server.Close()
-	ln, err := net.Listen("tcp", m.addr)
+	ln, err := listen(m.addr)
 	if err != nil {
 		return err
 	}
@@ -156,10 +159,12 @@
 }
 
 // Move has it start at another address the next time.
-func (m *Machine) Move() {
+func (m *Machine) Move() error {
+	at, err := free()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.addr = "127.0.0.1:0"
+	m.addr = at
+	return err
 }
 
 // Running tells whether it is on.
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -170,14 +172,29 @@
 	return errors.Join(r.fault, r.judge.Fault)
 }
 
-// free is an address that nobody listens on.
+// Addresses for processes that are started again: ports under those that the system draws for connections.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+)
+
+var lastPort atomic.Uint32
+
+// free is an address that nobody listens on, and that no connection gets by chance.
 func free() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	lastPort.CompareAndSwap(0, rand.Uint32N(ports))
+	for range ports {
+		at := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%ports)
+		// Asked by connecting: a port that was only just listened on may not be had again at once.
+		conn, err := net.DialTimeout("tcp", at, time.Second)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return at, nil
+		}
+		if err == nil {
+			_ = conn.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 func (r *Rig) build(binary string) error {
@@ -338,6 +355,17 @@
 	}
 }
 
+// listen opens an address that may have been closed only just now.
+func listen(at string) (ln net.Listener, err error) {
+	for range 100 {
+		if ln, err = net.Listen("tcp", at); !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+		time.Sleep(pollEvery)
+	}
+	return ln, err
+}
+
 // on starts a machine anew.
 func (r *Rig) on(m *Machine) {
 	var err error
@@ -578,7 +606,7 @@
 		case "on":
 			r.on(m)
 		case "move": // it comes back at another address
-			m.Move()
+			return m.Move()
 		case "silent":
 			m.mu.Lock()
 			m.Silent = true
--- a/internal/workorder/next.go
+++ b/internal/workorder/next.go
@@ -44,12 +44,12 @@
 	return ""
 }
 
-// fact is what staying without a machine would leave.
-func (s *State) fact(w *Work, v View) *Fact {
+// fact is what would stay without a machine, and without those that are named as well.
+func (s *State) fact(w *Work, v View, named bool) *Fact {
 	f := &Fact{Voter: v.Machines[w.Machine.ID].Voter}
 	for id, m := range v.Machines {
 		a := s.Active(id)
-		if id == w.Machine.ID || !m.Ready || m.Sick || a != nil && a.Step.gone() ||
+		if id == w.Machine.ID || !m.Ready || m.Sick || a != nil && (a.Step.gone() || named && a.Named > 0) ||
 			(m.Proxy == "") != (w.Machine.Proxy == "") {
 			continue
 		}
@@ -140,9 +140,12 @@
 		return Command{}
 	}
 	for _, w := range s.choice(v) {
-		if f := s.fact(w, v); s.May(w, f) == nil {
+		if f := s.fact(w, v, false); w.Named > 0 && s.May(w, f) == nil {
 			return Command{Kind: Grant, Machine: w.Machine.ID, Fact: f}
 		}
+		if f := s.fact(w, v, true); w.Named == 0 && s.MayName(w, f) == nil {
+			return Command{Kind: Name, Machine: w.Machine.ID, Fact: f}
+		}
 	}
 	return Command{}
 }
@@ -186,7 +189,11 @@
 		if why := s.Blocked(v); why != "" {
 			return why
 		}
-		if err := s.May(w, s.fact(w, v)); err != nil {
+		err := s.May(w, s.fact(w, v, false))
+		if w.Named == 0 {
+			err = s.MayName(w, s.fact(w, v, true))
+		}
+		if err != nil {
 			return err.Error()
 		}
 	case Granted, Draining:
--- a/internal/workorder/workorder.go
+++ b/internal/workorder/workorder.go
@@ -140,6 +140,7 @@
 	SetDone       // Machine
 	Fail          // Machine, Why
 	GiveBack      // Machine, Index, Why: its room is needed, and it is not free yet
+	Name          // Machine, Fact: it may go out next; who is cut off from now on sends nothing new there
 )
 
 // Note is what a party has said.
@@ -228,10 +229,11 @@
 	return nil
 }
 
-// Named lists the machines that may go out, and Marked those to which nothing new may be sent.
+// Named lists the machines that may go out: who is cut off sends nothing new there. They are few at any time,
+// so that a proxy that is cut off has room to go on with.
 func (s *State) Named() (ids []string) {
 	for _, w := range s.Works {
-		if !w.Step.Ended() {
+		if w.Named > 0 && !w.Step.Ended() {
 			ids = append(ids, w.Machine.ID)
 		}
 	}
@@ -418,7 +420,7 @@
 	}
 	s.Orders = append(s.Orders, o)
 	for _, m := range o.Machines {
-		s.Works = append(s.Works, &Work{Order: o.ID, Machine: m, Named: s.Index})
+		s.Works = append(s.Works, &Work{Order: o.ID, Machine: m})
 	}
 	s.tidy()
 	return nil
@@ -517,6 +519,13 @@
 }
 
 func (s *State) step(w *Work, c Command) error {
+	if c.Kind == Name {
+		if err := s.MayName(w, c.Fact); err != nil {
+			return err
+		}
+		w.Named = s.Index
+		return nil
+	}
 	next, ok := steps[c.Kind]
 	if !ok || !slices.Contains(next.from, w.Step) {
 		return fmt.Errorf("machine %q is %v", w.Machine.ID, w.Step)
@@ -549,6 +558,31 @@
 	return nil
 }
 
+// MayName says why a machine can't be named now, nil if it can. Guards against a proxy that is cut off with
+// no room left: it gives up all that is named.
+func (s *State) MayName(w *Work, f *Fact) error {
+	o := s.Order(w.Order)
+	if o == nil || f == nil {
+		return errors.New("no order, or no facts")
+	}
+	ahead := 0
+	for _, v := range s.Works {
+		if v.Order == o.ID && v.Named > 0 && v.Step == Waiting {
+			ahead++
+		}
+	}
+	switch {
+	case o.Ended || o.Paused || w.Step != Waiting || w.Named > 0:
+		return errors.New("it does not wait to be named")
+	case ahead >= o.Most:
+		return fmt.Errorf("%d are named already", ahead)
+	case w.Machine.Proxy == "" && (f.Left < o.Keep*o.Fleet || f.ZoneLeft < 1):
+		return fmt.Errorf("no room for those who are cut off: %.3g of weight %.3g would stay, %d in zone %s",
+			f.Left, o.Fleet, f.ZoneLeft, w.Machine.Zone)
+	}
+	return nil
+}
+
 // May says why a machine can't be granted now, nil if it can.
 func (s *State) May(w *Work, f *Fact) error {
 	o := s.Order(w.Order)
@@ -560,6 +594,9 @@
 	case o.Paused:
 		return errors.New("the order is paused")
 	}
+	if w.Named == 0 {
+		return errors.New("the proxies have not been told yet that it may go out")
+	}
 	// Guards against a proxy that was cut off before it was told that the machine may go out: it would go on
 	// sending there after its lease has run out.
 	for _, p := range s.sorted() {
--- a/internal/workorder/workorder_test.go
+++ b/internal/workorder/workorder_test.go
@@ -39,11 +39,17 @@
 	apply("", Command{Kind: Submit, Call: "c1", Order: order("o", 2, 1)})
 	apply("", Command{Kind: Submit, Call: "c1", Order: order("o", 2, 1)}) // once
 	apply("in order", Command{Kind: Submit, Order: order("p", 2, 1)})
+	apply("not been told", Command{Kind: Grant, Machine: "m0", Fact: enough})
+	apply("no room for those", Command{Kind: Name, Machine: "m0", Fact: &Fact{Left: 9}})
+	apply("", Command{Kind: Name, Machine: "m0", Fact: enough})
+	apply("named already", Command{Kind: Name, Machine: "m1", Fact: enough})
 	apply("does not know", Command{Kind: Grant, Machine: "m0", Fact: enough})
-	apply("", Command{Kind: Know, Notes: []Note{{Party: a, Index: 2}}})
+	apply("", Command{Kind: Know, Notes: []Note{{Party: a, Index: index}}})
 	apply("last room", Command{Kind: Grant, Machine: "m0", Fact: &Fact{Left: 9}})
 	apply("", Command{Kind: Grant, Machine: "m0", Fact: enough})
 	grant := index
+	apply("", Command{Kind: Name, Machine: "m1", Fact: enough})
+	apply("", Command{Kind: Know, Notes: []Note{{Party: a, Index: index}}})
 	apply("out already", Command{Kind: Grant, Machine: "m1", Fact: enough})
 	apply("may have something", Command{Kind: SetFree, Machine: "m0", Index: grant})
 	apply("", Command{Kind: Join, Party: &Party{Name: "b", Inc: 2, Addr: "y"}}) // knows with its first lease
@@ -77,7 +83,7 @@
 		s := New()
 		id := rapid.SampledFrom([]string{"m0", "m1", "m2", "m3", "m9", ""})
 		for index := uint64(1); index < 80; index++ {
-			c := Command{Kind: Kind(rapid.IntRange(0, 22).Draw(r, "kind")), Machine: id.Draw(r, "machine"),
+			c := Command{Kind: Kind(rapid.IntRange(0, 23).Draw(r, "kind")), Machine: id.Draw(r, "machine"),
 				Name: rapid.SampledFrom([]string{"a", "b", "o1", "o2"}).Draw(r, "name"), Inc: 1,
 				Index: rapid.Uint64Range(0, 80).Draw(r, "index"), Fact: &Fact{Left: 9, ZoneLeft: 1},
 				Call: rapid.SampledFrom([]string{"", "", "c1", "c2"}).Draw(r, "call")}
@@ -124,8 +130,14 @@
 		v.Machines[m.ID] = m
 	}
 	var got []string
-	for index := uint64(2); index < 6; index++ {
+	for index := uint64(2); len(got) < 4 && index < 40; index++ {
 		c := s.Next(v)
+		if c.Kind == Name {
+			if err := s.Apply(index, c); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
 		got = append(got, c.Machine)
 		if err := s.Apply(index, c); err != nil {
 			t.Fatal(err)
--- a/internal/workplay/faults.go
+++ b/internal/workplay/faults.go
@@ -256,7 +256,7 @@
 		if p.old != nil && w.wholeBut(p) {
 			w.trace("%s comes back with an older disk", p.name)
 			p.kill()
-			p.disk, p.old = p.old, nil
+			p.disk, p.old, p.aged = p.old, nil, true
 			w.at(lasts, p.start)
 		} else if p.alive {
 			p.old = p.disk.copy()
--- a/internal/workplay/play.go
+++ b/internal/workplay/play.go
@@ -132,6 +132,7 @@
 	holds    *holds.Set[string]
 	disk     *disk
 	old      *disk
+	aged     bool // it had an older disk once: the library may find out
 	open     map[string]int
 	flights  []*flight
 	seenWork uint64
@@ -328,7 +329,12 @@
 	}
 	w, inc := p.w, p.inc
 	w.report.Steps++
-	effects := slices.Clone(p.council.Step(p.clock(), ev))
+	effects, ok := p.safely(ev)
+	if !ok {
+		p.disk = newDisk(w.rng)
+		p.step(p.disk.open())
+		return
+	}
 	if work := p.council.Work(); work.Index != p.seenWork {
 		p.seenWork = work.Index
 		w.judge.State(p.name, work)
@@ -352,6 +358,20 @@
 	}
 }
 
+// safely steps the council. Where the library finds a state that can't be, the driver sets the disk aside.
+func (p *proxy) safely(ev council.Event) (effects []council.Effect, ok bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			p.w.trace("%s: the log can't be gone on with: %v", p.name, r)
+			if p.w.cfg.Break != ForgetVotes && !p.aged {
+				p.w.report.Fault = fmt.Errorf("%s: %v", p.name, r)
+			}
+			effects, ok = nil, false
+		}
+	}()
+	return slices.Clone(p.council.Step(p.clock(), ev)), true
+}
+
 // tryDisk opens the disk again after a write that failed.
 func (p *proxy) tryDisk() {
 	if p.disk.full {
