--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -84,7 +84,10 @@
 			return // an old answer, or to another process
 		}
 		delete(p.sentAt, l.Seq)
-		if p.heard = max(p.heard, l.Seq); l.Again {
+		if l.Leader == e.From { // guards against taking its own answer, while it knows of no leader, for one
+			p.heard = max(p.heard, l.Seq)
+		}
+		if l.Again {
 			p.renewAt = 0
 		}
 		if l.Seq == p.seq && l.Leader != "" && l.Leader != p.hint {
