--- a/cmd/lilalab/fleet.go
+++ b/cmd/lilalab/fleet.go
@@ -23,17 +23,20 @@
 // fleetCommand plays several proxies that talk to each other: real processes from a scenario, or the same
 // state machines in virtual time.
 func fleetCommand(out io.Writer) *cobra.Command {
-	var plays, proxies, random, jobs int
+	var plays, proxies, random, jobs, rounds, troubles int
 	var seed uint64
 	var steps bool
 	c := &cobra.Command{Use: "fleet [FILE]",
 		Short: "Play proxies that take machines out for work; fails when a promise was broken",
 		Args:  cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			if rounds > 0 {
+				return idleCost(out, rounds)
+			}
 			if random > 0 {
 				return randomFleet(c.Context(), out, seed, random, jobs)
 			}
 			if len(args) == 0 {
-				return playFleet(out, seed, plays, proxies, steps)
+				return playFleet(out, seed, plays, proxies, troubles, steps)
 			}
 			if program == "" {
 				return errors.New("fleet: --program: not set")
@@ -61,6 +64,8 @@
 			return err
 		}}
 	c.Flags().IntVar(&plays, "plays", 100, "schedules to play in virtual time")
+	c.Flags().IntVar(&rounds, "idle-cost", 0, "rounds of a proxy without peers and with idle ones, by turns")
+	c.Flags().IntVar(&troubles, "faults", 0, "faults of each schedule (default: drawn; under 0: none)")
 	c.Flags().IntVar(&random, "random", 0, "scenarios drawn from seeds to play on real processes")
 	c.Flags().IntVar(&jobs, "jobs", 2, "of them at once")
 	c.Flags().IntVar(&proxies, "proxies", 0, "proxies of each (default: 3 to 9, drawn)")
@@ -70,11 +75,11 @@
 }
 
 // playFleet plays schedules in virtual time.
-func playFleet(out io.Writer, seed uint64, plays, proxies int, steps bool) error {
+func playFleet(out io.Writer, seed uint64, plays, proxies, troubles int, steps bool) error {
 	var total workplay.Report
 	show := progress("schedules", plays)
 	for i := range plays {
-		cfg := workplay.Config{Seed: seed + uint64(i), Proxies: proxies}
+		cfg := workplay.Config{Seed: seed + uint64(i), Proxies: proxies, Faults: troubles}
 		if steps {
 			cfg.Trace = func(s string) { fmt.Fprintln(out, s) }
 		}
@@ -87,6 +92,10 @@
 		total.Messages += r.Messages
 		total.Bytes += r.Bytes
 		total.Took = max(total.Took, r.Took)
+		if total.Ran += r.Ran; proxies > 0 {
+			fmt.Fprintf(out, "seed %d: each proxy sends %.0f messages and %.0f bytes a second\n", cfg.Seed,
+				float64(r.Messages)/float64(proxies)/r.Ran.Seconds(), float64(r.Bytes)/float64(proxies)/r.Ran.Seconds())
+		}
 		show(i+1, plays)
 	}
 	fmt.Fprintf(out, "%d schedules: %d machines told free, %d requests, %d messages of %d bytes; all orders "+
@@ -164,6 +173,25 @@
 	return fmt.Errorf("%w\nkept, with %d of %d steps, as %s", first, len(less.Steps), len(failed.Steps), path)
 }
 
+// idleCost prints what peers cost a proxy that has nothing to settle with them.
+func idleCost(out io.Writer, rounds int) error {
+	if program == "" {
+		return errors.New("fleet: --program: not set")
+	}
+	dir, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	without, with, err := faults.IdleCost(program, dir, rounds, 16, 3*time.Second)
+	for i := range with {
+		a, b := without[i], with[i]
+		fmt.Fprintf(out, "round %d: without %.0f/s p99 %v cpu %v, with %.0f/s p99 %v cpu %v\n", i+1, a.PerSecond,
+			a.P99, a.CPU, b.PerSecond, b.P99, b.CPU)
+	}
+	return err
+}
+
 // seeded plays with the agreement library's random numbers drawn from the play's seed, too: it takes them
 // from the system's reader, so only one play runs at a time.
 func seeded(cfg workplay.Config) workplay.Report {
--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -23,6 +23,7 @@
 	peersAt       string
 	dir           string
 	binary        string
+	alone         bool // it talks to no other proxy
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -53,8 +54,11 @@
 	if p.cmd != nil {
 		return fmt.Errorf("%s runs already", p.Name)
 	}
-	cmd := exec.Command(p.binary, "serve", "--config", filepath.Join(p.dir, "config.json"), "--peers",
-		filepath.Join(p.dir, "peers.yaml"))
+	args := []string{"serve", "--config", filepath.Join(p.dir, "config.json")}
+	if !p.alone {
+		args = append(args, "--peers", filepath.Join(p.dir, "peers.yaml"))
+	}
+	cmd := exec.Command(p.binary, args...)
 	cmd.Env = append(os.Environ(), "NODE_CONFIG=", "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=",
 		"NODE_ADMIN=", "NODE_PEERS=", "TMPDIR="+p.dir)
 	cmd.Stdout, cmd.Stderr = p, p
--- a/internal/peers/config.go
+++ b/internal/peers/config.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -79,13 +80,14 @@
 			return fmt.Errorf("founders[%d]: peers has no address for %q", i, f)
 		}
 	}
-	for key, addr := range map[string]string{"listen": c.Listen, "advertise": c.Advertise} {
-		if err := address(addr); err != nil {
-			return fmt.Errorf("%s: %w", key, err)
-		}
+	if err := address(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if err := address(c.Advertise); err != nil {
+		return fmt.Errorf("advertise: %w", err)
 	}
-	for peer, addr := range c.Peers {
-		if err := address(addr); err != nil {
+	for _, peer := range slices.Sorted(maps.Keys(c.Peers)) {
+		if err := address(c.Peers[peer]); err != nil {
 			return fmt.Errorf("peers.%s: %w", peer, err)
 		}
 	}
--- a/internal/workplay/play.go
+++ b/internal/workplay/play.go
@@ -21,7 +21,7 @@
 	Seed     uint64
 	Proxies  int // 0: 3 to 9
 	Machines int // 0: 4 to 9
-	Faults   int // 0: 4 to 14
+	Faults   int // 0: 4 to 14; under 0: none
 	Trouble  time.Duration
 	Trace    func(string)
 	// Break and Without take a guard out, to show that the judge finds what it guards against.
@@ -51,6 +51,7 @@
 	Took     time.Duration // until all orders were through after the last fault was over; 0: not through
 	Messages int
 	Bytes    int
+	Ran      time.Duration
 	Calls    []*Call
 }
 
@@ -146,6 +147,7 @@
 		made: map[string]*Call{}}
 	w.build()
 	w.run()
+	w.report.Ran = w.now
 	w.report.Requests, w.report.Frees = w.judge.Requests, w.judge.Frees
 	if w.report.Fault == nil {
 		w.report.Fault = w.judge.Fault
@@ -196,7 +198,7 @@
 	if trouble == 0 {
 		trouble = w.between(10*time.Second, 40*time.Second)
 	}
-	for range faults {
+	for range max(0, faults) {
 		w.at(w.between(2*time.Second, trouble), w.fault)
 	}
 	w.at(trouble, w.heal)
