--- a/internal/faults/random.go
+++ b/internal/faults/random.go
@@ -12,8 +12,8 @@
 // Random draws a scenario from a seed. Its faults come after so many requests were served since the one
 // before, all of them are over at its end, and then all orders must come through.
 func Random(seed uint64) Scenario {
-	d := &draw{rng: rand.New(rand.NewPCG(seed, 2)), killed: map[string]bool{}, paused: map[string]bool{},
-		dead: map[string]bool{}, hidden: map[string]bool{}}
+	d := &draw{rng: rand.New(rand.NewPCG(seed, 2)), killed: map[string]bool{}, started: map[string]bool{},
+		paused: map[string]bool{}, dead: map[string]bool{}, hidden: map[string]bool{}}
 	sc := Scenario{Name: fmt.Sprint("random-", seed), Proxies: 3 + d.rng.IntN(3), Machines: 4 + d.rng.IntN(3),
 		Every: 25 * time.Millisecond, Work: time.Duration(100+d.rng.IntN(900)) * time.Millisecond}
 	d.sc = &sc
@@ -36,6 +36,7 @@
 	rng                          *rand.Rand
 	sc                           *Scenario
 	killed, paused, dead, hidden map[string]bool
+	started                      map[string]bool // again
 	lost, cut                    bool
 	orders                       int
 }
@@ -51,7 +52,12 @@
 	if len(names) < 2 {
 		return ""
 	}
-	return names[d.rng.IntN(len(names))]
+	p := names[d.rng.IntN(len(names))]
+	// Somebody has to serve all the time: who was started again does so only where there is a majority.
+	if !slices.ContainsFunc(names, func(n string) bool { return n != p && !d.started[n] }) {
+		return ""
+	}
+	return p
 }
 
 func (d *draw) submit() string {
@@ -106,10 +112,10 @@
 		return []string{"heal"}
 	case p == "":
 	case n == 6 && !d.lost && len(d.killed)+len(d.paused) == 0 && !d.cut:
-		d.lost = true // once: a second one might take the only other whole copy
+		d.lost, d.started[p] = true, true // once: a second one might take the only other whole copy
 		return []string{"kill " + p, []string{"lose ", "damage "}[d.rng.IntN(2)] + p, "start " + p}
 	case n <= 7:
-		d.killed[p] = true
+		d.killed[p], d.started[p] = true, true
 		return []string{"kill " + p}
 	case n == 8:
 		d.paused[p] = true
