Cut a proxy off only once it knows what may go out, so that scenarios end alike each time

Seen: on a clean checkout leader-deaf.yaml waited for good: the leader was cut off before it had heard that m1 may go out, and then m1 rightly waits. The scenario hung on which came first. Ruled out: the promise and the code; alone it passed each time.

--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -559,6 +559,14 @@
 	case len(f) >= 4 && f[0] == "log":
 		p, err := r.proc(f[1])
 		return err == nil && strings.Contains(p.Log(), strings.Join(f[2:], " ")), err
+	case len(f) == 2 && f[0] == "known": // every proxy has said that it knows that the machine may go out
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.state == nil {
+			return false, nil
+		}
+		w := r.state.Active(f[1])
+		return w != nil && w.Named > 0 && r.state.AllKnow(w) == "", nil
 	case len(f) == 3 && f[1] == "is":
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/workorder/workorder.go
+++ b/internal/workorder/workorder.go
@@ -599,10 +599,8 @@
 	}
 	// Guards against a proxy that was cut off before it was told that the machine may go out: it would go on
 	// sending there after its lease has run out.
-	for _, p := range s.sorted() {
-		if w.concerns(p) && !p.knows(w.Named) {
-			return fmt.Errorf("proxy %s does not know of the order yet", p.Key())
-		}
+	if key := s.AllKnow(w); key != "" {
+		return fmt.Errorf("proxy %s does not know of the order yet", key)
 	}
 	all, zone, kind := s.Missing(w.Machine.Zone, w.Machine.Kind)
 	// Every order that has a machine out has its own limits kept, too.
@@ -637,6 +635,16 @@
 	return nil
 }
 
+// AllKnow is the first party that has not said that it knows a machine as named, "" if all have.
+func (s *State) AllKnow(w *Work) string {
+	for _, p := range s.sorted() {
+		if w.concerns(p) && !p.knows(w.Named) {
+			return p.Key()
+		}
+	}
+	return ""
+}
+
 // Missing counts the machines that are missing to the fleet for work: all, of a zone, of a model.
 func (s *State) Missing(zone, kind string) (all, inZone, ofKind int) {
 	for _, w := range s.Works {
