--- a/cmd/lilalab/fleet.go
+++ b/cmd/lilalab/fleet.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	crand "crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -83,7 +80,7 @@
 		if steps {
 			cfg.Trace = func(s string) { fmt.Fprintln(out, s) }
 		}
-		r := seeded(cfg)
+		r := workplay.Play(cfg)
 		if r.Fault != nil {
 			return fmt.Errorf("seed %d: %w", cfg.Seed, r.Fault)
 		}
@@ -191,14 +188,3 @@
 	}
 	return err
 }
-
-// seeded plays with the agreement library's random numbers drawn from the play's seed, too: it takes them
-// from the system's reader, so only one play runs at a time.
-func seeded(cfg workplay.Config) workplay.Report {
-	var key [32]byte
-	binary.LittleEndian.PutUint64(key[:], cfg.Seed)
-	old := crand.Reader
-	defer func() { crand.Reader = old }()
-	crand.Reader = rand.NewChaCha8(key)
-	return workplay.Play(cfg)
-}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -4,6 +4,7 @@
 package council
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -52,7 +53,6 @@
 	Without Guard // taken out; for plays that show what it guards against
 
 	ID, Boot uint64 // of the disk
-	Fresh    bool   // the disk begins anew
 	Saved    agree.Saved
 	Note     []byte
 }
@@ -104,7 +104,6 @@
 	// DiskBack says that the disk can be written again, and what is on it.
 	DiskBack struct {
 		ID, Boot uint64
-		Fresh    bool
 		Saved    agree.Saved
 		Note     []byte
 	}
@@ -308,11 +307,10 @@
 	if err := workorder.Decode(state, rep); err != nil {
 		return err
 	}
-	work, err := workorder.Restore(workorder.Encode(rep.Work))
-	if err != nil {
-		return err
+	if rep.Work == nil {
+		return errors.New("a snapshot without a state")
 	}
-	rep.Work = work
+	rep.Work.Filled()
 	if rep.Voters == nil {
 		rep.Voters = map[uint64]Voter{}
 	}
@@ -358,7 +356,7 @@
 		c.lead = lead{}
 		c.do(Log{"the disk can't be written: this proxy gives up its vote until it can"})
 	case DiskBack:
-		c.cfg.ID, c.cfg.Boot, c.cfg.Fresh = ev.ID, ev.Boot, ev.Fresh
+		c.cfg.ID, c.cfg.Boot = ev.ID, ev.Boot
 		if err := c.load(ev.Saved, ev.Note); err != nil {
 			c.core = nil
 			c.do(Retire{err.Error()})
--- a/internal/faults/random.go
+++ b/internal/faults/random.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -98,12 +99,12 @@
 		}
 		return []string{"list " + m}
 	case n == 3 && len(d.killed) > 0:
-		for _, name := range slices.Sorted(keysOf(d.killed)) {
+		for _, name := range slices.Sorted(maps.Keys(d.killed)) {
 			delete(d.killed, name)
 			return []string{"start " + name}
 		}
 	case n == 4 && len(d.paused) > 0:
-		for _, name := range slices.Sorted(keysOf(d.paused)) {
+		for _, name := range slices.Sorted(maps.Keys(d.paused)) {
 			delete(d.paused, name)
 			return []string{"continue " + name}
 		}
@@ -134,31 +135,21 @@
 // over ends all faults.
 func (d *draw) over() []string {
 	do := []string{"heal"}
-	for _, p := range slices.Sorted(keysOf(d.paused)) {
+	for _, p := range slices.Sorted(maps.Keys(d.paused)) {
 		do = append(do, "continue "+p)
 	}
-	for _, p := range slices.Sorted(keysOf(d.killed)) {
+	for _, p := range slices.Sorted(maps.Keys(d.killed)) {
 		do = append(do, "start "+p)
 	}
-	for _, m := range slices.Sorted(keysOf(d.dead)) {
+	for _, m := range slices.Sorted(maps.Keys(d.dead)) {
 		do = append(do, "on "+m)
 	}
-	for _, m := range slices.Sorted(keysOf(d.hidden)) {
+	for _, m := range slices.Sorted(maps.Keys(d.hidden)) {
 		do = append(do, "list "+m)
 	}
 	return do
 }
 
-func keysOf(m map[string]bool) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 // Shrink takes steps out of a scenario that fails, one after the other, for as long as it fails without them.
 func Shrink(ctx context.Context, sc Scenario, fails func(Scenario) bool) Scenario {
 	for i := len(sc.Steps) - 3; i >= 1 && ctx.Err() == nil; i-- {
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"errors"
@@ -219,7 +220,7 @@
 		r.procs = append(r.procs, p)
 	}
 	var founders []string
-	for i := range max(1, min(cmpOr(r.sc.Founders, 3), len(r.procs))) {
+	for i := range max(1, min(cmp.Or(r.sc.Founders, 3), len(r.procs))) {
 		founders = append(founders, r.procs[i].Name)
 	}
 	for i, p := range r.procs {
@@ -248,13 +249,6 @@
 	return nil
 }
 
-func cmpOr(a, b int) int {
-	if a != 0 {
-		return a
-	}
-	return b
-}
-
 // end ends all that was started.
 func (r *Rig) end() {
 	for _, p := range r.procs {
@@ -738,7 +732,7 @@
 				r.mu.Lock()
 				defer r.mu.Unlock()
 				if was, ok := r.calls[id]; ok && (was == nil) != (err == nil) {
-					r.judge.Fault = cmpErr(r.judge.Fault, fmt.Errorf("call %s gave %v and %v", id, was, err))
+					r.judge.Fault = cmp.Or(r.judge.Fault, fmt.Errorf("call %s gave %v and %v", id, was, err))
 				}
 				r.calls[id] = err
 				return
@@ -747,10 +741,3 @@
 	}
 	return nil
 }
-
-func cmpErr(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
--- a/internal/holds/holds.go
+++ b/internal/holds/holds.go
@@ -38,10 +38,11 @@
 	if f.Index < s.facts.Index {
 		return // an older state is never gone back to
 	}
-	until := max(f.Until, s.facts.Until)
+	if f.Index > s.facts.Index {
+		s.held = nil
+	}
+	f.Until = max(f.Until, s.facts.Until)
 	s.facts = f
-	s.facts.Until = until
-	s.held = nil
 }
 
 // At is to be asked before each event. Changed says that what Holds tells may differ from before; cut, that
--- a/internal/legs/leg.go
+++ b/internal/legs/leg.go
@@ -59,11 +59,10 @@
 type job struct {
 	bufs   [][]byte
 	by     time.Time
-	report bool      // post the end of it
-	detach bool      // detach the leg in place of writing
-	pass   func()    // pass a flow on in place of writing
-	begin  time.Time // nothing is written from then on; zero: no matter
-	late   func()    // in place of report, where it was too late to begin a flow
+	report bool        // post the end of it
+	detach bool        // detach the leg in place of writing
+	pass   func()      // pass a flow on in place of writing
+	late   func() bool // asked just before: it is too late to begin, and that was posted; nil: it never is
 }
 
 // attach hooks a leg into its connection. It must come before OnRequest is set.
@@ -147,13 +146,7 @@
 		case j.detach:
 			g.detach()
 			continue
-		case !j.begin.IsZero() && !time.Now().Before(j.begin):
-			// Guards against a process that was paused here: the machine may be out by now.
-			if j.late != nil {
-				j.late()
-			} else {
-				g.inbox.post(written{leg: g})
-			}
+		case j.late != nil && j.late():
 			continue
 		case j.pass != nil:
 			j.pass()
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -636,13 +636,12 @@
 			if f, ok := e.Payload.(*flow); ok {
 				g.flow = f
 				j := p.pass(f, g, f.m.ForwardHead(fieldTimeout, ms, f.length))
-				j.begin = p.begin(e)
-				j.late = func() { p.inbox.post(written{leg: g, flow: f}) }
+				j.late = p.late(e, written{leg: g, flow: f})
 				g.write(j)
 				return
 			}
 			bufs := e.Payload.(*http1.Message).Forward(fieldTimeout, ms)
-			g.write(job{bufs: bufs, by: p.wall(e.At), report: true, begin: p.begin(e)})
+			g.write(job{bufs: bufs, by: p.wall(e.At), report: true, late: p.late(e, written{leg: g})})
 		}
 	case proxystate.CloseHop:
 		if g := p.hops[e.Leg]; g != nil {
--- a/internal/legs/work.go
+++ b/internal/legs/work.go
@@ -28,12 +28,19 @@
 	return err
 }
 
-// begin is when a request must have begun to be written at the latest.
-func (p *proxy) begin(e proxystate.Effect) time.Time {
+// late is asked just before a request is written, nil where its time does not matter. Guards against a
+// process that was paused there: the machine may be out by now, so nothing is written, and said is posted.
+func (p *proxy) late(e proxystate.Effect, said written) func() bool {
 	if e.Begin <= 0 {
-		return time.Time{}
+		return nil
+	}
+	return func() bool {
+		if p.now() < e.Begin {
+			return false
+		}
+		p.inbox.post(said)
+		return true
 	}
-	return p.wall(e.Begin)
 }
 
 // published shows the figures to operators, and what follows from them to the other proxies.
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -99,7 +99,7 @@
 	slices.Sort(names)
 	n.council, err = council.New(council.Config{Name: o.Name, Inc: rand.Uint64() | 1, Addr: cfg.Advertise,
 		Founders: cfg.Founders, Peers: names, Grace: o.Grace, Seed: o.Seed, ReplaceAfter: cfg.ReplaceAfter,
-		WarmAfter: o.WarmAfter, AloneAfter: cfg.AloneAfter, ID: disk.ID, Boot: disk.Boot, Fresh: disk.Fresh != "",
+		WarmAfter: o.WarmAfter, AloneAfter: cfg.AloneAfter, ID: disk.ID, Boot: disk.Boot,
 		Saved: disk.Saved, Note: disk.Note})
 	if err != nil { // it was read through, but makes no sense
 		n.renew(err.Error())
@@ -187,7 +187,7 @@
 }
 
 func back(d *agree.Disk) council.DiskBack {
-	return council.DiskBack{ID: d.ID, Boot: d.Boot, Fresh: d.Fresh != "", Saved: d.Saved, Note: d.Note}
+	return council.DiskBack{ID: d.ID, Boot: d.Boot, Saved: d.Saved, Note: d.Note}
 }
 
 // renew sets the disk aside and goes on under a new identity.
--- a/internal/proxystate/work.go
+++ b/internal/proxystate/work.go
@@ -191,7 +191,8 @@
 		w.told = now
 		s.do(Effect{Do: Stop, Payload: now})
 	}
-	if w.set.Marks() > 0 && !w.polled {
+	// What is clear stays so while it is marked, for days where it failed: nothing is opened there.
+	if len(now.Clear) < w.set.Marks() && !w.polled {
 		w.polled = true
 		s.clock.add(s.now+stopEvery, func() {
 			w.polled = false
--- a/internal/workorder/codec.go
+++ b/internal/workorder/codec.go
@@ -38,11 +38,16 @@
 	if err := Decode(raw, s); err != nil {
 		return nil, err
 	}
+	s.Filled()
+	return s, nil
+}
+
+// Filled has what was decoded as nothing be empty instead.
+func (s *State) Filled() {
 	if s.Parties == nil {
 		s.Parties = map[string]*Party{}
 	}
 	if s.Boots == nil {
 		s.Boots = map[string]Boot{}
 	}
-	return s, nil
 }
--- a/internal/workplay/disk.go
+++ b/internal/workplay/disk.go
@@ -57,7 +57,7 @@
 // open is a start on this disk.
 func (d *disk) open() council.DiskBack {
 	d.boot++
-	b := council.DiskBack{ID: d.id, Boot: d.boot, Fresh: !d.used, Note: d.note}
+	b := council.DiskBack{ID: d.id, Boot: d.boot, Note: d.note}
 	if d.hard != nil {
 		b.Saved.Hard = proto.CloneOf(d.hard)
 	}
--- a/internal/workplay/play.go
+++ b/internal/workplay/play.go
@@ -5,7 +5,10 @@
 
 import (
 	"container/heap"
+	crand "crypto/rand"
+	"encoding/binary"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -140,8 +143,13 @@
 	wakeAt   time.Duration
 }
 
-// Play plays one schedule.
+// Play plays one schedule. The agreement library takes its random numbers from the system's reader, which is
+// the seed's meanwhile: one play runs at a time.
 func Play(cfg Config) Report {
+	var key [32]byte
+	binary.LittleEndian.PutUint64(key[:], cfg.Seed)
+	defer func(old io.Reader) { crand.Reader = old }(crand.Reader)
+	crand.Reader = rand.NewChaCha8(key)
 	w := &world{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), judge: workorder.NewJudge(),
 		cut: map[[2]string]bool{}, slow: map[[2]string]time.Duration{}, calls: map[string]string{},
 		made: map[string]*Call{}}
@@ -266,7 +274,7 @@
 	c, err := council.New(council.Config{Name: p.name, Inc: p.inc, Addr: "a-" + p.name, Founders: w.founders(),
 		Peers: peers, Grace: grace, Seed: w.rng.Uint64(), ReplaceAfter: 8 * time.Second, WarmAfter: time.Second,
 		Without: w.cfg.Without,
-		ID:      back.ID, Boot: back.Boot, Fresh: back.Fresh, Saved: back.Saved, Note: back.Note})
+		ID:      back.ID, Boot: back.Boot, Saved: back.Saved, Note: back.Note})
 	if err != nil {
 		w.report.Fault = fmt.Errorf("%s does not start: %w", p.name, err)
 		return
--- a/internal/workplay/play_test.go
+++ b/internal/workplay/play_test.go
@@ -1,9 +1,7 @@
 package workplay
 
 import (
-	crand "crypto/rand"
 	"flag"
-	"math/rand/v2"
 	"testing"
 
 	"github.com/anishathalye/porcupine"
@@ -18,17 +16,7 @@
 	steps = flag.Bool("steps", false, "log each step")
 )
 
-// seeded has the library's election times drawn from the play's seed.
-func seeded(t *testing.T, seed uint64) {
-	var key [32]byte
-	key[0], key[1], key[2] = byte(seed), byte(seed>>8), byte(seed>>16)
-	old := crand.Reader
-	crand.Reader = rand.NewChaCha8(key)
-	t.Cleanup(func() { crand.Reader = old })
-}
-
 func play(t *testing.T, cfg Config) Report {
-	seeded(t, cfg.Seed)
 	if *steps {
 		cfg.Trace = func(s string) { t.Log(s) }
 	}
