Go on by what the disk knows, and let measured room and hot keys decide who goes out

Need: a proxy that started again and reached no majority served nobody, also with its disk kept, so a power cut stretched for as long as the voters needed; room was counted by listed weights alone, hot keys and avoided machines were not told; two versions of the program would have held different states.

Change: each proxy keeps on its disk what may go out by its word, before it says that it knows of it, and the log waits for the word of the process that goes on by it (Party.Resumed), so it serves after 1 s without a lease. Proxies tell requests in work, each machine's room (16 a renewal, by turns; the leader takes the median of 7 voices), machines set aside and those with a hot key (internal/hotkeys); guards in the state machine hold them against the order's margin. Entries that an earlier program does not know wait until all understand them (level); an earlier program on a later log says so and takes no part.

--- a/internal/agree/disk.go
+++ b/internal/agree/disk.go
@@ -50,6 +50,9 @@
 		return nil, err
 	}
 	path := filepath.Join(dir, diskFile)
+	if err := rigFull(path); err != nil {
+		return nil, err
+	}
 	fresh := ""
 	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
 		fresh = "there was no file"
@@ -154,6 +157,9 @@
 
 // Write puts a write on the disk; when it returns without an error, it is there for good.
 func (d *Disk) Write(w *Write) error {
+	if err := rigFull(d.path); err != nil {
+		return err
+	}
 	return d.db.Update(func(tx *bbolt.Tx) error {
 		meta, entries := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
 		if w.Hard != nil {
@@ -187,6 +193,9 @@
 
 // Keep writes what the council keeps besides the log.
 func (d *Disk) Keep(note []byte) error {
+	if err := rigFull(d.path); err != nil {
+		return err
+	}
 	return d.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyNote, note) })
 }
 
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -4,6 +4,7 @@
 package council
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -30,9 +31,14 @@
 	aliveFor     = 2 * time.Second
 	askAgain     = 400 * time.Millisecond // an operators' call is passed on again
 	askFor       = 4 * time.Second        // and given up
+	resumeAfter  = time.Second            // without a lease, what the disk knew is gone by
+	roomFor      = 30 * time.Second       // a measure of a machine's room counts so long
+	busyMemory   = time.Second
 	proposeAgain = time.Second
 	mostCalls    = 64  // operators' calls in work at one proxy
-	mostAvoids   = 16  // machines that a proxy names as set aside
+	mostAvoids   = 16  // machines that a proxy names as set aside, or as holding a hot key
+	roomsEach    = 16  // machines whose room is told with one renewal; all come by turns
+	roomVoices   = 7   // proxies whose measure of a machine's room counts, the latest
 	mostNotes    = 256 // of one entry
 )
 
@@ -49,6 +55,7 @@
 	ReplaceAfter time.Duration
 	WarmAfter    time.Duration // a machine that came back is done then
 	AloneAfter   time.Duration // without a lease the proxy serves after this, against the promise; 0: never
+	Level        uint64        // what this program understands; 0: workorder.LevelNow. For plays of two versions
 
 	Without Guard // taken out; for plays that show what it guards against
 
@@ -69,6 +76,8 @@
 	GraceWait         // and what was open then as over, too
 	SentCount         // a lease counts from when it came, not from when it was asked for
 	BootCompare       // an older disk votes
+	FromTold          // a party that goes on by its disk's knowledge doesn't say so
+	LevelWait         // what older programs don't understand is proposed all the same
 )
 
 // Event is something that happened: a Tick, Received, Asked, Stopped, Inventory, Load, Leaving or DiskLost.
@@ -92,10 +101,13 @@
 	}
 	// Inventory is the machines as discovery lists them now.
 	Inventory struct{ Machines []workorder.Seen }
-	// Load counts requests since the last Load, and what the proxy avoids.
+	// Load counts requests since the last Load, those that are in work at machines now, and what was measured.
 	Load struct {
 		Handled, Refused uint64
-		Avoids           []string
+		Busy             float64
+		Avoids           []string // machines that it has set aside
+		Hot              []string // machines where it sends a hot key
+		Rooms            []Room
 	}
 	// Leaving says that the proxy has ended all it had open; Left follows.
 	Leaving struct{}
@@ -169,6 +181,9 @@
 	blank   map[string]time.Duration
 	helloAt time.Duration
 	agreed  map[string]bool // peers that know no later start of this identity
+	resume  *Note           // what an earlier process here has said that it knows; nil: nothing is known of it
+	from    uint64          // index of it, for good
+	kept    bool            // the disk has, or is about to have, what there is to keep
 
 	party  party
 	lead   lead
@@ -189,7 +204,9 @@
 	turn     int
 	until    time.Duration
 	index    uint64 // of what it was told
-	knows    uint64 // of what its reducer keeps to
+	level    uint64 // of the log
+	reducer  uint64 // of what its reducer keeps to
+	knows    uint64 // up to which it says that it knows the state
 	heard    uint64 // the last renewal that was answered
 	urgent   uint64 // the leader should know soon that it does, from this index on
 	named    []string
@@ -200,6 +217,12 @@
 	handled  uint64
 	refused  uint64
 	avoids   []string
+	hot      []string
+	busy     float64 // mean of busyNow over about busyMemory
+	busyNow  float64
+	busyAt   time.Duration
+	rooms    []Room
+	roomTurn int
 	leaving  bool
 	left     bool
 	told     Facts
@@ -228,13 +251,22 @@
 	change  time.Duration            // when the voters were last to be changed
 	pushed  string                   // what the parties were told last
 	pushAt  uint64
+	rooms   map[string][]voice // of each machine, the latest last
+}
+
+// voice is what a party measured of a machine's room.
+type voice struct {
+	key  string
+	most float64
+	at   time.Duration
 }
 
 // said is what a party said of itself with its last renewal.
 type said struct {
 	at               time.Duration
 	handled, refused uint64
-	avoids           []string
+	avoids, hot      []string
+	busy             float64
 }
 
 type renewer struct {
@@ -273,7 +305,16 @@
 	c := &Council{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Inc)), table: members.New(cfg.ReplaceAfter),
 		blank: map[string]time.Duration{}, calls: map[string]*pending{}, agreed: map[string]bool{}}
 	c.party = party{sentAt: map[uint64]time.Duration{}, every: joinEvery}
-	return c, c.load(cfg.Saved, cfg.Note)
+	c.cfg.Level = cmp.Or(cfg.Level, workorder.LevelNow)
+	if err := c.load(cfg.Saved, cfg.Note); err != nil {
+		return c, err
+	}
+	var n Note
+	if len(cfg.Note) > 0 && workorder.Decode(cfg.Note, &n) == nil && n.Index > 0 &&
+		c.cfg.Level >= workorder.LevelResume {
+		c.resume, c.from = &n, n.Index
+	}
+	return c, nil
 }
 
 // load begins with what is on the disk.
@@ -287,6 +328,7 @@
 		}
 		c.cluster = n.Cluster
 	}
+	c.kept = true
 	core, state, err := agree.Open(c.cfg.ID, saved)
 	if err != nil {
 		return err
@@ -302,6 +344,10 @@
 	return nil
 }
 
+// ErrLater is of a log that this program is too old for.
+var ErrLater = errors.New("all other proxies understand more than this program: it takes no part, and is " +
+	"not ready; start a later one")
+
 func (c *Council) install(state []byte) error {
 	rep := &replica{}
 	if err := workorder.Decode(state, rep); err != nil {
@@ -311,6 +357,9 @@
 		return errors.New("a snapshot without a state")
 	}
 	rep.Work.Filled()
+	if rep.Work.Level > c.cfg.Level {
+		return ErrLater
+	}
 	if rep.Voters == nil {
 		rep.Voters = map[uint64]Voter{}
 	}
@@ -346,24 +395,51 @@
 		c.party.handled += ev.Handled
 		c.party.refused += ev.Refused
 		c.party.avoids = ev.Avoids[:min(len(ev.Avoids), mostAvoids)]
+		c.party.hot = ev.Hot[:min(len(ev.Hot), mostAvoids)]
+		c.party.rooms = ev.Rooms
+		c.party.mean(c.now)
+		c.party.busyNow = ev.Busy
 	case Leaving:
-		c.party.leaving, c.party.renewAt = true, 0
-		if c.core != nil && c.core.Leads() {
-			c.core.Yield()
-		}
+		c.leave()
 	case DiskLost:
 		c.core = nil // it votes no more until the disk is back, and goes on as a party
 		c.lead = lead{}
+		c.kept, c.party.toldOnce = false, false // what stood behind the write was not done
+		if c.party.leaving && !c.party.left {   // the disk still knows what it would go on by
+			c.party.left = true
+			c.do(Left{})
+		}
 		c.do(Log{"the disk can't be written: this proxy gives up its vote until it can"})
 	case DiskBack:
 		c.cfg.ID, c.cfg.Boot = ev.ID, ev.Boot
 		if err := c.load(ev.Saved, ev.Note); err != nil {
 			c.core = nil
 			c.do(Retire{err.Error()})
+			return
+		}
+		if c.party.index > 0 {
+			c.keep()
+			c.known()
 		}
 	}
 }
 
+// leave ends this party. Guards against a next process that goes on by what the disk knew: nobody waits for
+// this party's word any more once it has left.
+func (c *Council) leave() {
+	p := &c.party
+	p.leaving, p.renewAt, c.resume = true, 0, nil
+	if c.core != nil && c.core.Leads() {
+		c.core.Yield()
+	}
+	if !c.kept && p.level >= workorder.LevelResume {
+		p.left = true // it is found out by its lease
+		c.do(Left{})
+		return
+	}
+	c.keep()
+}
+
 // settle does what the log wants done, and what this one has to say to itself.
 func (c *Council) settle() {
 	for again := true; again; {
@@ -436,6 +512,9 @@
 
 // apply takes in an agreed entry.
 func (c *Council) apply(e agree.Entry) {
+	if c.core == nil {
+		return // given up at an entry before
+	}
 	if e.IsConf {
 		c.changed(e)
 		return
@@ -448,6 +527,12 @@
 		c.do(Log{fmt.Sprintf("entry %d: %v", e.Index, err)})
 		return
 	}
+	if slices.ContainsFunc(b.Commands, func(cmd workorder.Command) bool {
+		return cmd.Kind == workorder.Raise && cmd.Index > c.cfg.Level
+	}) {
+		c.tooOld()
+		return
+	}
 	for _, cmd := range b.Commands {
 		err := c.rep.Work.Apply(e.Index, cmd)
 		if cmd.Call != "" {
@@ -482,13 +567,34 @@
 func (c *Council) adopt(cluster uint64) {
 	if c.cluster != cluster {
 		c.cluster = cluster
-		c.do(Keep{workorder.Encode(Note{Cluster: cluster})})
+		c.keep()
 	}
 }
 
+// keep has the note kept. Guards against a party that says it knows what may go out, is killed, and goes on
+// without knowing it.
+func (c *Council) keep() {
+	n := Note{Cluster: c.cluster}
+	switch p := &c.party; {
+	case p.leaving || p.level < workorder.LevelResume && c.resume == nil:
+	case p.index == 0 && c.resume != nil: // nothing was heard yet: an earlier process's words still hold
+		n = *c.resume
+		n.Cluster = c.cluster
+	default:
+		n.Index, n.Named, n.Grace = p.index, p.named, p.grace
+	}
+	c.do(Keep{workorder.Encode(n)})
+}
+
+// tooOld gives up the part in a log that this program does not understand.
+func (c *Council) tooOld() {
+	c.core, c.lead, c.resume = nil, lead{}, nil
+	c.do(Log{ErrLater.Error()})
+}
+
 // send has an envelope sent, to itself too.
 func (c *Council) send(to, addr string, e *Envelope) {
-	e.Version, e.From, e.Inc, e.To = version, c.cfg.Name, c.cfg.Inc, to
+	e.Version, e.From, e.Inc, e.To = uint8(c.cfg.Level), c.cfg.Name, c.cfg.Inc, to
 	if e.Addr, e.Cluster = c.cfg.Addr, c.cluster; c.core != nil {
 		e.ID, e.Boot = c.cfg.ID, c.cfg.Boot
 	}
@@ -503,7 +609,7 @@
 // received takes a message. What is not understood, or from another log, is counted and changes nothing.
 func (c *Council) received(raw []byte) {
 	var e Envelope
-	if err := workorder.Decode(raw, &e); err != nil || e.Version < 1 || e.From == "" || e.Inc == 0 ||
+	if err := workorder.Decode(raw, &e); err != nil || e.Version < firstVersion || e.From == "" || e.Inc == 0 ||
 		e.To != c.cfg.Name {
 		c.Foreign++
 		return
@@ -518,7 +624,8 @@
 		return
 	}
 	if !own {
-		m := members.Member{Name: e.From, Inc: e.Inc, ID: e.ID, Boot: e.Boot, Addr: e.Addr}
+		m := members.Member{Name: e.From, Inc: e.Inc, ID: e.ID, Boot: e.Boot, Addr: e.Addr,
+			Level: uint64(e.Version)}
 		if e.Hello != nil {
 			m.Blank = e.Hello.Blank
 		}
@@ -598,7 +705,7 @@
 		return
 	}
 	c.helloAt = c.now + helloEvery
-	if c.held {
+	if c.held && c.core != nil {
 		c.mayVote()
 	}
 	if !c.blankNow() || !slices.Contains(c.cfg.Founders, c.cfg.Name) {
@@ -692,7 +799,7 @@
 func (c *Council) retire(why string) {
 	c.core = nil
 	c.lead = lead{}
-	c.cluster = 0
+	c.cluster, c.resume = 0, nil
 	c.do(Retire{why})
 }
 
@@ -711,7 +818,7 @@
 	case c.lead.term != c.core.Term():
 		c.lead = lead{term: c.core.Term(), since: c.now, renewed: map[string]time.Duration{},
 			said: map[string]*said{}, reads: map[uint64]*reading{}, steps: map[string]stepped{},
-			voterAt: map[uint64]time.Duration{}}
+			voterAt: map[uint64]time.Duration{}, rooms: map[string][]voice{}}
 		for _, id := range c.core.Voters() {
 			c.lead.voterAt[id] = c.now
 		}
@@ -748,7 +855,7 @@
 	_, every := c.pace()
 	w := c.rep.Work
 	l := &Lease{Every: every, Grace: w.Grace, Index: max(1, w.Index), Named: w.Named(), Marked: w.Marked(),
-		Leader: c.cfg.Name}
+		Leader: c.cfg.Name, Level: w.Level}
 	for _, id := range slices.Sorted(maps.Keys(c.rep.Voters)) {
 		l.Voters = append(l.Voters, c.rep.Voters[id])
 	}
--- a/internal/council/lead.go
+++ b/internal/council/lead.go
@@ -14,6 +14,7 @@
 const (
 	changeAgain = 2 * time.Second // a change of the voters is not asked for again before
 	mostAsked   = 256             // operators' calls in work at the leader
+	hotVoices   = 2               // so many proxies, or all that tell, say that a machine holds a hot key
 )
 
 // renewing takes a party's renewal.
@@ -45,9 +46,16 @@
 	case p == nil && e.ID != 0 && b.ID == e.ID && b.Boot >= e.Boot:
 		answer(&Lease{Retire: true})
 		return
+	case uint64(e.Version) < work.Level:
+		answer(&Lease{Level: work.Level}) // it can't know what it would be told
+		return
 	case p == nil:
-		c.joining(workorder.Command{Kind: workorder.Join, Party: &workorder.Party{Name: e.From, Inc: e.Inc,
-			Addr: e.Addr, Grace: r.Grace, ID: e.ID, Boot: e.Boot}})
+		join := workorder.Command{Kind: workorder.Join, Party: &workorder.Party{Name: e.From, Inc: e.Inc,
+			Addr: e.Addr, Grace: r.Grace, ID: e.ID, Boot: e.Boot}}
+		if r.From > 0 && work.Level >= workorder.LevelResume {
+			join.Party.Resumed, join.Party.Knows = true, r.From
+		}
+		c.joining(join)
 		answer(&Lease{})
 		return
 	case r.Seq > r.Heard+deafAfter:
@@ -59,9 +67,10 @@
 		answer(&Lease{}) // another process has its address
 		return
 	}
-	c.lead.said[key] = &said{c.now, r.Handled, r.Refused, r.Avoids}
+	c.lead.said[key] = &said{c.now, r.Handled, r.Refused, r.Avoids, r.Hot, r.Busy}
+	c.measured(key, r.Rooms)
 	news := func(w *workorder.Work) bool {
-		return !w.Step.Ended() && w.Named > max(p.Knows, p.Joined) && w.Named <= r.Knows
+		return !w.Step.Ended() && w.Named > p.Known() && w.Named <= r.Knows
 	}
 	if slices.ContainsFunc(work.Works, news) {
 		c.lead.knows = append(c.lead.knows, workorder.Note{Party: key, Index: r.Knows})
@@ -81,6 +90,34 @@
 	}
 }
 
+// measured takes in what a party measured of machines' room. A few voices count for each machine, so that
+// nothing follows from one of them, and memory has a bound.
+func (c *Council) measured(key string, rooms []Room) {
+	for _, r := range rooms[:min(len(rooms), roomsEach)] {
+		if _, listed := c.seen[r.Machine]; !listed || !(r.Most >= 0 && r.Most < 1e9) {
+			continue
+		}
+		v := slices.DeleteFunc(c.lead.rooms[r.Machine], func(v voice) bool { return v.key == key })
+		v = append(v, voice{key, r.Most, c.now})
+		c.lead.rooms[r.Machine] = slices.Delete(v, 0, max(0, len(v)-roomVoices))
+	}
+}
+
+// room is the median of what was lately measured of a machine's room, 0 if it is not known.
+func (c *Council) room(machine string) float64 {
+	var all []float64
+	for _, v := range c.lead.rooms[machine] {
+		if c.now-v.at < roomFor {
+			all = append(all, v.most)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
 // joining notes a party's coming or going, once.
 func (c *Council) joining(cmd workorder.Command) {
 	same := func(o workorder.Command) bool {
@@ -117,6 +154,9 @@
 	for _, a := range l.asked {
 		b.Commands = append(b.Commands, *a.call.Command)
 	}
+	if level := c.understood(); level > max(workorder.LevelFirst, c.rep.Work.Level) {
+		b.Commands = append(b.Commands, workorder.Command{Kind: workorder.Raise, Index: level})
+	}
 	if next := c.rep.Work.Next(c.view()); next.Kind != workorder.Nothing {
 		b.Commands = append(b.Commands, next)
 	}
@@ -133,6 +173,42 @@
 	return true
 }
 
+// understood is the level that all voters and parties understand, as far as they were heard as they are now.
+// Guards against an entry that counts with some and is turned down by others: their states would differ.
+func (c *Council) understood() uint64 {
+	if c.cfg.Without == LevelWait {
+		return workorder.LevelNow
+	}
+	if len(c.rep.Voters) < len(c.cfg.Founders) || c.core.Changing() {
+		return workorder.LevelFirst // who gets a vote next may understand less
+	}
+	least := c.cfg.Level
+	level := func(name string, inc, id uint64) {
+		if name == c.cfg.Name {
+			return
+		}
+		if m := c.table.Get(name); m == nil || inc != 0 && m.Inc != inc || id != 0 && m.ID != id {
+			least = min(least, workorder.LevelFirst)
+		} else {
+			least = min(least, m.Level)
+		}
+	}
+	for _, p := range c.rep.Work.Parties {
+		if !p.Gone {
+			level(p.Name, p.Inc, 0)
+		}
+	}
+	for id, v := range c.rep.Voters {
+		level(v.Name, 0, id)
+	}
+	for _, j := range c.lead.joins {
+		if j.Party != nil {
+			level(j.Party.Name, j.Party.Inc, 0)
+		}
+	}
+	return least
+}
+
 // confirm asks a majority whether this proxy still leads, for all who wait.
 func (c *Council) confirm() {
 	c.lead.token++
@@ -294,7 +370,8 @@
 func (c *Council) view() workorder.View {
 	v := workorder.View{Now: c.now, Machines: make(map[string]workorder.Seen, len(c.seen)), Listed: c.seenAt,
 		Expired: c.expired, Since: map[string]time.Duration{}, WarmAfter: c.cfg.WarmAfter}
-	avoided, tell := map[string]int{}, 0
+	v.Level = c.rep.Work.Level
+	avoided, hot, tell := map[string]int{}, map[string]int{}, 0
 	var handled, refused uint64
 	_, every := c.pace()
 	for _, s := range c.lead.said {
@@ -304,15 +381,21 @@
 		tell++
 		handled += s.handled
 		refused += s.refused
+		v.Busy += s.busy
 		for _, id := range s.avoids {
 			avoided[id]++
 		}
+		for _, id := range s.hot {
+			hot[id]++
+		}
 	}
 	if handled > 0 {
 		v.Refused = float64(refused) / float64(handled)
 	}
 	for id, m := range c.seen {
 		m.Sick = 2*avoided[id] > tell // nothing follows from one peer's word
+		m.Hot = hot[id] >= min(hotVoices, tell) && hot[id] > 0
+		m.Room = c.room(id)
 		v.Machines[id] = m
 	}
 	for _, p := range c.rep.Work.Parties {
@@ -351,7 +434,8 @@
 	}
 	var spare *members.Member // who may get a vote: founders first
 	for _, m := range c.table.All() {
-		if m.ID == 0 || isVoter[m.Name] || c.table.State(c.now, m.Name, every) != members.Alive {
+		if m.ID == 0 || isVoter[m.Name] || m.Level < c.rep.Work.Level ||
+			c.table.State(c.now, m.Name, every) != members.Alive {
 			continue
 		}
 		if spare == nil || slices.Contains(c.cfg.Founders, m.Name) && !slices.Contains(c.cfg.Founders, spare.Name) {
@@ -369,7 +453,8 @@
 	for _, id := range voters {
 		v, ok := c.voter(id)
 		if m := c.table.Get(v.Name); ok && id != c.cfg.ID && m != nil && m.ID != 0 && m.ID != id &&
-			c.table.State(c.now, m.Name, every) == members.Alive && !slices.Contains(voters, m.ID) {
+			m.Level >= c.rep.Work.Level && c.table.State(c.now, m.Name, every) == members.Alive &&
+			!slices.Contains(voters, m.ID) {
 			change(m, id) // it lost its disk: its old identity must not vote again
 			return
 		}
@@ -398,13 +483,21 @@
 		fmt.Fprintf(&b, " %s", c.rep.Voters[id].Name)
 	}
 	b.WriteByte('\n')
+	room := 0.0
+	for _, m := range v.Machines {
+		if m.Ready {
+			room += m.Room
+		}
+	}
+	fmt.Fprintf(&b, "level %d busy %.3g of room for %.3g requests, %.2g refused\n", work.Level, v.Busy, room,
+		v.Refused)
 	for _, key := range slices.Sorted(maps.Keys(work.Parties)) {
 		p := work.Parties[key]
 		age := "never"
 		if at, ok := c.lead.renewed[key]; ok {
 			age = (c.now - at).Round(TickEvery).String() + " ago"
 		}
-		fmt.Fprintf(&b, "proxy %s knows %d renewed %s", key, max(p.Knows, p.Joined), age)
+		fmt.Fprintf(&b, "proxy %s knows %d renewed %s", key, p.Known(), age)
 		if p.Gone {
 			b.WriteString(" gone")
 		}
--- a/internal/council/messages.go
+++ b/internal/council/messages.go
@@ -6,8 +6,9 @@
 	"lilacglade/internal/workorder"
 )
 
-// version is what this program speaks; a peer that speaks a later one is understood as far as it goes.
-const version = 1
+// firstVersion is the least that a message may say it speaks; one that speaks a later one is understood as
+// far as it goes, and what the log may say follows from the least of all (workorder.LevelNow).
+const firstVersion = 1
 
 // Envelope is one message between proxies. Exactly one of the pointers is set, or Raft.
 type Envelope struct {
@@ -44,11 +45,21 @@
 	Knows   uint64           `cbor:"2,keyasint"` // the state it knows
 	Clear   []workorder.Mark `cbor:"3,keyasint,omitempty"`
 	Grace   time.Duration    `cbor:"4,keyasint"`
-	Leaving bool             `cbor:"5,keyasint,omitempty"` // it has stopped, and has nothing open anywhere
-	Handled uint64           `cbor:"6,keyasint,omitempty"` // requests since the call before
-	Refused uint64           `cbor:"7,keyasint,omitempty"` // of them
-	Avoids  []string         `cbor:"8,keyasint,omitempty"` // machines that it has set aside
-	Heard   uint64           `cbor:"9,keyasint,omitempty"` // the last call that was answered
+	Leaving bool             `cbor:"5,keyasint,omitempty"`  // it has stopped, and has nothing open anywhere
+	Handled uint64           `cbor:"6,keyasint,omitempty"`  // requests since the call before
+	Refused uint64           `cbor:"7,keyasint,omitempty"`  // of them
+	Avoids  []string         `cbor:"8,keyasint,omitempty"`  // machines that it has set aside
+	Heard   uint64           `cbor:"9,keyasint,omitempty"`  // the last call that was answered
+	From    uint64           `cbor:"10,keyasint,omitempty"` // until its first lease it may go by the state then
+	Busy    float64          `cbor:"11,keyasint,omitempty"` // its requests in work at machines, lately
+	Rooms   []Room           `cbor:"12,keyasint,omitempty"` // of some machines, by turns
+	Hot     []string         `cbor:"13,keyasint,omitempty"` // machines where it sends a hot key
+}
+
+// Room is what a proxy measured of a machine.
+type Room struct {
+	Machine string  `cbor:"1,keyasint"`
+	Most    float64 `cbor:"2,keyasint"` // requests that it can hold, of all proxies
 }
 
 // Lease tells the state, and answers a Renew where Seq is set. With no For it is no lease: the sender does
@@ -66,6 +77,7 @@
 	Left   bool             `cbor:"10,keyasint,omitempty"`
 	Retire bool             `cbor:"11,keyasint,omitempty"` // the asker's disk is older than what it said before
 	Again  bool             `cbor:"12,keyasint,omitempty"` // it had not heard answers lately: it may ask at once
+	Level  uint64           `cbor:"13,keyasint,omitempty"` // of the log
 }
 
 // Voter is one of those who agree on the log.
@@ -116,4 +128,9 @@
 // Note is what is kept on the disk beside the log.
 type Note struct {
 	Cluster uint64 `cbor:"1,keyasint"`
+	// What this proxy has said that it knows: all that could go out without its word is in Named. Index 0: it
+	// has said nothing, or has left.
+	Index uint64        `cbor:"2,keyasint,omitempty"`
+	Named []string      `cbor:"3,keyasint,omitempty"`
+	Grace time.Duration `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -36,11 +36,39 @@
 	if to == "" {
 		return
 	}
+	p.mean(c.now)
 	c.send(to, addr, &Envelope{Renew: &Renew{Seq: p.seq, Knows: p.knows, Clear: p.clear, Grace: c.cfg.Grace,
-		Leaving: p.leaving, Handled: p.handled, Refused: p.refused, Avoids: p.avoids, Heard: p.heard}})
+		Leaving: p.leaving, Handled: p.handled, Refused: p.refused, Avoids: p.avoids, Heard: p.heard,
+		From: c.told(), Busy: p.busy, Hot: p.hot, Rooms: c.someRooms()}})
 	p.handled, p.refused = 0, 0
 }
 
+// mean lets the mean of what is in work follow up to now.
+func (p *party) mean(now time.Duration) {
+	if age := now - p.busyAt; age > 0 {
+		p.busy += (p.busyNow - p.busy) * age.Seconds() / (age + busyMemory).Seconds()
+		p.busyAt = now
+	}
+}
+
+// told is the index that this party says it may go on by.
+func (c *Council) told() uint64 {
+	if c.cfg.Without == FromTold {
+		return 0
+	}
+	return c.from
+}
+
+// someRooms are the rooms that are told with this renewal.
+func (c *Council) someRooms() (some []Room) {
+	p := &c.party
+	for range min(roomsEach, len(p.rooms)) {
+		some = append(some, p.rooms[p.roomTurn%len(p.rooms)])
+		p.roomTurn++
+	}
+	return some
+}
+
 // leaderOr is who leads as far as is known, or else one of those who may know, by turns.
 func (c *Council) leaderOr(turn int) (name, addr string) {
 	// Guards against asking for good who led when this one lost its vote: it hears no more of elections.
@@ -78,6 +106,10 @@
 	if c.cluster == 0 && e.Cluster != 0 {
 		c.adopt(e.Cluster)
 	}
+	if l.Level > c.cfg.Level && c.core != nil && l.For == 0 {
+		c.tooOld()
+		return
+	}
 	sent, mine := p.sentAt[l.Seq]
 	if l.Seq != 0 {
 		if !mine {
@@ -110,10 +142,14 @@
 		return
 	}
 	if l.Index > p.index { // agreed for good, whoever tells it
-		if !slices.Equal(p.named, l.Named) {
+		news := !slices.Equal(p.named, l.Named) || p.level != l.Level
+		if news {
 			p.urgent = l.Index
 		}
-		p.index, p.named, p.marked = l.Index, l.Named, l.Marked
+		p.index, p.named, p.marked, p.level = l.Index, l.Named, l.Marked, l.Level
+		if p.grace = max(p.grace, l.Grace); news && p.level >= workorder.LevelResume {
+			c.keep()
+		}
 		p.clear = slices.DeleteFunc(p.clear, func(m workorder.Mark) bool { return !slices.Contains(p.marked, m) })
 	}
 	if l.Index > 0 && len(l.Voters) > 0 {
@@ -139,7 +175,8 @@
 // still lies before the reducer: a process paused just then would go on by what it knew before.
 func (c *Council) stopped(ev Stopped) {
 	p := &c.party
-	p.knows = max(p.knows, min(ev.Index, p.index))
+	p.reducer = max(p.reducer, ev.Index)
+	c.known()
 	if p.urgent > 0 && p.knows >= p.urgent {
 		p.urgent, p.renewAt = 0, 0
 	}
@@ -148,10 +185,29 @@
 	}
 }
 
+// known notes up to where this party may say that it knows the state: its reducer keeps to it, and the disk
+// knows what is named.
+func (c *Council) known() {
+	if p := &c.party; c.kept || p.level < workorder.LevelResume {
+		p.knows = max(p.knows, min(p.reducer, p.index))
+	}
+}
+
 // tell tells the reducer what holds, when it has changed.
 func (c *Council) tell() {
 	p := &c.party
 	f := Facts{Index: p.index, Marked: p.marked, Named: p.named, Until: p.until, Grace: p.grace}
+	if r := c.resume; r != nil && f.Until == 0 && p.began > 0 && c.now-p.began >= resumeAfter {
+		// As if its lease had run out: what it doesn't hold can't be told free, since the log waits for the word
+		// of the process that was here before, or for this one's.
+		if f.Until = 1; f.Index < r.Index {
+			f.Index, f.Named, f.Marked, f.Grace = r.Index, r.Named, nil, r.Grace
+		}
+		if p.told.Until == 0 {
+			c.do(Log{fmt.Sprintf("no lease yet: serves by what was known here at entry %d, and sends nothing to the "+
+				"%d machines that might go out", f.Index, len(f.Named))})
+		}
+	}
 	if f.Until == 0 && c.cfg.AloneAfter > 0 && p.began > 0 && c.now-p.began >= c.cfg.AloneAfter {
 		f.Until = Forever
 		if p.told.Until != Forever {
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -228,9 +228,9 @@
 
 func (p *proxy) now() time.Duration { return p.at(time.Now()) }
 
-func (p *proxy) at(t time.Time) time.Duration { return longAgo + t.Sub(p.start) }
+func (p *proxy) at(t time.Time) time.Duration { return longAgo + elapsed(t.Sub(p.start)) }
 
-func (p *proxy) wall(at time.Duration) time.Time { return p.start.Add(at - longAgo) }
+func (p *proxy) wall(at time.Duration) time.Time { return p.start.Add(lasting(at - longAgo)) }
 
 // take turns an item into the reducer's events.
 func (p *proxy) take(item any) {
--- a/internal/legs/work.go
+++ b/internal/legs/work.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lg "lilacglade"
+	"lilacglade/internal/council"
 	"lilacglade/internal/holds"
 	"lilacglade/internal/peers"
 	"lilacglade/internal/proxystate"
@@ -14,7 +15,10 @@
 )
 
 // loads is what the other proxies were told of this one's load.
-type loads struct{ handled, refused uint64 }
+type loads struct {
+	handled, refused uint64
+	names            map[lg.ServerID]string // of the next hops, as discovery lists them
+}
 
 // join has this proxy take part among its peers.
 func (p *proxy) join(cfg peers.Config, node settings.Node) (err error) {
@@ -51,12 +55,28 @@
 	if p.peers == nil {
 		return
 	}
-	now := loads{}
+	now := loads{names: p.loads.names}
 	for _, h := range f.Handled {
 		now.handled += h.Passed + h.Dropped + h.BadGateway
 		now.refused += h.Dropped
 	}
-	p.peers.Load(now.handled-p.loads.handled, now.refused-p.loads.refused)
+	l := council.Load{Handled: now.handled - p.loads.handled, Refused: now.refused - p.loads.refused}
+	for _, r := range f.Rooms {
+		l.Busy += float64(r.Out)
+		name, ok := now.names[r.Server]
+		if r.Aside && ok {
+			l.Avoids = append(l.Avoids, name)
+		}
+		if ok {
+			l.Rooms = append(l.Rooms, council.Room{Machine: name, Most: r.Most})
+		}
+	}
+	for _, id := range f.Hot {
+		if name, ok := now.names[id]; ok {
+			l.Hot = append(l.Hot, name)
+		}
+	}
+	p.peers.Load(l)
 	p.loads = now
 }
 
@@ -66,7 +86,9 @@
 		return
 	}
 	var all []workorder.Seen
+	p.loads.names = map[lg.ServerID]string{}
 	for _, in := range p.routes.Instances() {
+		p.loads.names[routeset.ID(in.Name)] = in.Name
 		all = append(all, workorder.Seen{Ready: in.State == lg.Ready, Machine: workorder.Machine{ID: in.Name,
 			Zone: in.Zone, Kind: in.Kind, Weight: in.Weight, Started: in.Started}})
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -16,6 +16,7 @@
 	Boot  uint64 // which start this is of that identity
 	Addr  string // where it listens to its peers, as it says itself
 	Blank bool   // it has never been part of a log
+	Level uint64 // what it understands
 	Heard time.Duration
 }
 
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -99,8 +99,12 @@
 	slices.Sort(names)
 	n.council, err = council.New(council.Config{Name: o.Name, Inc: rand.Uint64() | 1, Addr: cfg.Advertise,
 		Founders: cfg.Founders, Peers: names, Grace: o.Grace, Seed: o.Seed, ReplaceAfter: cfg.ReplaceAfter,
-		WarmAfter: o.WarmAfter, AloneAfter: cfg.AloneAfter, ID: disk.ID, Boot: disk.Boot,
+		WarmAfter: o.WarmAfter, Level: rigLevel(), AloneAfter: cfg.AloneAfter, ID: disk.ID, Boot: disk.Boot,
 		Saved: disk.Saved, Note: disk.Note})
+	if errors.Is(err, council.ErrLater) {
+		_, _ = disk.Close(), ln.Close()
+		return nil, fmt.Errorf("peers: dir: %w", err)
+	}
 	if err != nil { // it was read through, but makes no sense
 		n.renew(err.Error())
 		if n.disk == nil {
@@ -324,10 +328,8 @@
 // Inventory takes the machines as discovery lists them.
 func (n *Node) Inventory(all []workorder.Seen) { n.post(council.Inventory{Machines: all}) }
 
-// Load takes what the proxy has handled and refused since the last call.
-func (n *Node) Load(handled, refused uint64) {
-	n.post(council.Load{Handled: handled, Refused: refused})
-}
+// Load takes what the proxy has handled and refused since the last call, and what it measured.
+func (n *Node) Load(l council.Load) { n.post(l) }
 
 // accept takes peers' connections.
 func (n *Node) accept() {
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -96,7 +96,9 @@
 	r := &request{id: s.lastID, name: ev.Name, class: ev.Class, caller: c, deadline: ev.Deadline - margin,
 		payload: ev.Payload, count: s.began(s.counts.classes[ev.Class])}
 	r.unsafe = s.cfg.Settings.Classes[ev.Class].Effect == lg.Unsafe
-	r.stream, r.may = ev.Stream, ev.May
+	if r.stream, r.may = ev.Stream, ev.May; ev.HasKey {
+		r.key = ev.Key
+	}
 	r.reachBy = s.now + max(0, r.deadline-s.now)/2
 	s.phase(c, callerAsking)
 	c.asked = true
--- a/internal/proxystate/figures.go
+++ b/internal/proxystate/figures.go
@@ -18,6 +18,8 @@
 	Tries             uint64
 	Known, Skipped    int // next hops in the route set, and those of them that get nothing new now
 	Loads, LoadErrors uint64
+	Rooms             []lg.Room     // what was measured of the next hops; nil where proxies settle nothing
+	Hot               []lg.ServerID // next hops where a hot key is sent to
 }
 
 // Handled counts the requests of one class that have ended.
@@ -104,6 +106,10 @@
 	if m, ok := s.bal.(interface{ Skipped() int }); ok {
 		f.Skipped += m.Skipped()
 	}
+	if m, ok := s.bal.(interface{ Rooms() []lg.Room }); ok && s.work != nil {
+		f.Rooms = m.Rooms()
+		f.Hot = s.work.keys.Hot(s.now, len(f.Rooms))
+	}
 	for _, h := range s.counts.handled {
 		f.Handled = append(f.Handled, *h)
 	}
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -16,6 +16,9 @@
 	b := &branch{req: r, number: r.sent, hop: s.pool.Hop(a.Server), sent: s.now, until: r.limit(s.now, a.For)}
 	r.sent++
 	r.branch = b
+	if s.work != nil && r.key != 0 {
+		s.work.keys.Sent(s.now, r.key, a.Server)
+	}
 	if s.cfg.Trace != nil {
 		s.trace("S %d.%d %x class %d", r.id, b.number, uint64(a.Server), r.class)
 	}
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -112,6 +112,7 @@
 	unsafe   bool
 	caller   *caller // nil once it has left
 	count    *Handled
+	key      uint64 // 0: none
 	deadline time.Duration
 	reachBy  time.Duration // a next hop should have it whole by then
 	reached  bool          // one had it whole
--- a/internal/proxystate/work.go
+++ b/internal/proxystate/work.go
@@ -6,6 +6,7 @@
 
 	lg "lilacglade"
 	"lilacglade/internal/holds"
+	"lilacglade/internal/hotkeys"
 )
 
 // stopEvery is how often the reducer looks whether nothing is left at machines that are to be taken out.
@@ -37,7 +38,8 @@
 	due    time.Duration             // when the clock has the next look at the lease
 	polled bool                      // the clock has the next look at what is open
 	own    uint64                    // the grant by which this proxy's own machine goes out
-	closed bool                      // it has said that nothing is open here: it takes nothing more
+	keys   hotkeys.Counter[lg.ServerID]
+	closed bool // it has said that nothing is open here: it takes nothing more
 }
 
 func newWork() *work {
--- a/internal/workorder/next.go
+++ b/internal/workorder/next.go
@@ -10,9 +10,11 @@
 // Seen is what a leader knows of one machine.
 type Seen struct {
 	Machine
-	Ready bool // discovery lists it as ready; of a proxy: it was heard lately
-	Sick  bool // most proxies that tell avoid it
-	Voter bool // a proxy that votes
+	Ready bool    // discovery lists it as ready; of a proxy: it was heard lately
+	Sick  bool    // most proxies that tell avoid it
+	Voter bool    // a proxy that votes
+	Room  float64 // requests that it can hold, the median of what proxies measured; 0: not known
+	Hot   bool    // it serves a key that is a machine's load by itself
 }
 
 // View is what a leader knows of the fleet. What it does not know for sure is left out.
@@ -21,9 +23,11 @@
 	Machines  map[string]Seen
 	Listed    time.Duration         // when discovery was last heard
 	Refused   float64               // part of the requests lately that the proxies refused
+	Busy      float64               // requests in work at machines, all proxies together
 	Expired   func(key string) bool // the party's lease has surely run out, and the longest deadline since
 	Since     map[string]time.Duration
 	WarmAfter time.Duration
+	Level     uint64 // of the log
 }
 
 // Figures of the choice.
@@ -47,6 +51,7 @@
 // fact is what would stay without a machine, and without those that are named as well.
 func (s *State) fact(w *Work, v View, named bool) *Fact {
 	f := &Fact{Voter: v.Machines[w.Machine.ID].Voter}
+	measured, known := 0.0, 0.0 // room, and the weight of the machines of which it is known
 	for id, m := range v.Machines {
 		a := s.Active(id)
 		if id == w.Machine.ID || !m.Ready || m.Sick || a != nil && (a.Step.gone() || named && a.Named > 0) ||
@@ -57,6 +62,15 @@
 		if m.Zone == w.Machine.Zone || m.Proxy != "" {
 			f.ZoneLeft++
 		}
+		if m.Room > 0 {
+			measured += m.Room
+			known += weight(m.Machine)
+		}
+	}
+	if w.Machine.Proxy == "" && s.Level >= LevelResume {
+		if f.Hot = v.Machines[w.Machine.ID].Hot; 2*known >= f.Left && known > 0 {
+			f.Room, f.Busy = measured*f.Left/known, v.Busy // one that is not known is as the others
+		}
 	}
 	return f
 }
@@ -88,8 +102,9 @@
 	return n
 }
 
-// Next is what a leader proposes next, Kind Nothing if there is nothing to do. Sick machines go first, then
-// zones take turns; what came first in its order breaks ties, so that the same facts give the same choice.
+// Next is what a leader proposes next, Kind Nothing if there is nothing to do. Sick machines go first and
+// those with hot keys last, zones take turns; what came first in its order breaks ties, so that the same
+// facts give the same choice.
 func (s *State) Next(v View) Command {
 	for _, w := range s.Works {
 		since := v.Now - v.Since[w.Machine.ID]
@@ -109,7 +124,7 @@
 			if s.Holding(w, expired) == "" {
 				return Command{Kind: SetFree, Machine: w.Machine.ID, Index: w.Granted, Expired: expired}
 			}
-			if v.Refused >= refusesMost {
+			if f := s.fact(w, v, false); v.Refused >= refusesMost || f.Room > 0 && f.Room < f.Busy {
 				return Command{Kind: GiveBack, Machine: w.Machine.ID, Index: w.Granted, Why: "its room is needed"}
 			}
 		case Free, Out:
@@ -171,8 +186,11 @@
 		return (i - at + len(zones)) % max(1, len(zones))
 	}
 	rank := func(w *Work) int {
-		if v.Machines[w.Machine.ID].Sick {
+		switch m := v.Machines[w.Machine.ID]; {
+		case m.Sick:
 			return 0
+		case m.Hot:
+			return 2
 		}
 		return 1
 	}
--- a/internal/workorder/spec.go
+++ b/internal/workorder/spec.go
@@ -1,6 +1,7 @@
 package workorder
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -20,9 +21,14 @@
 	OutFor   time.Duration `json:"out-for,omitempty" yaml:"out-for" cbor:"10,keyasint,omitempty"`
 	Proxies  []string      `json:"proxies,omitempty" yaml:"proxies" cbor:"12,keyasint,omitempty"`
 	AllProxy bool          `json:"all-proxies,omitempty" yaml:"all-proxies" cbor:"13,keyasint,omitempty"`
-	Done     string        `json:"done,omitempty" yaml:"done" cbor:"11,keyasint,omitempty"` // restart or said
+	// Done is restart or said: what tells that a machine is back
+	Done   string  `json:"done,omitempty" yaml:"done" cbor:"11,keyasint,omitempty"`
+	Margin float64 `json:"margin,omitempty" yaml:"margin" cbor:"14,keyasint,omitempty"` // 0: usualMargin
 }
 
+// usualMargin is the measured room that stays beyond what is in work: bursts of half as much again are usual.
+const usualMargin = 0.5
+
 // maxMachines bounds the machines of one order.
 const maxMachines = 512
 
@@ -30,6 +36,9 @@
 func (sp Spec) Resolve(v View) (*Order, error) {
 	o := &Order{ID: sp.ID, Most: sp.Most, MostZone: sp.MostZone, MostKind: sp.MostKind, Keep: sp.Keep,
 		Fleet: v.Fleet(sp.AllProxy || len(sp.Proxies) > 0), OutFor: sp.OutFor, Said: sp.Done == "said"}
+	if v.Level >= LevelResume {
+		o.Margin = cmp.Or(sp.Margin, usualMargin)
+	}
 	if sp.Done != "" && sp.Done != "said" && sp.Done != "restart" {
 		return nil, fmt.Errorf("done: %q, want restart or said", sp.Done)
 	}
--- a/internal/workorder/workorder.go
+++ b/internal/workorder/workorder.go
@@ -75,6 +75,7 @@
 	Said     bool          `cbor:"9,keyasint,omitempty"` // done when staff say so, not when it starts anew
 	Paused   bool          `cbor:"10,keyasint,omitempty"`
 	Ended    bool          `cbor:"11,keyasint,omitempty"` // cancelled: nothing more is granted
+	Margin   float64       `cbor:"12,keyasint,omitempty"` // measured room beyond what is in work that must stay
 }
 
 // Work is one machine's way through its order.
@@ -105,6 +106,8 @@
 	Grace  time.Duration `cbor:"7,keyasint,omitempty"` // the longest that a request of it may take
 	ID     uint64        `cbor:"8,keyasint,omitempty"` // as a voter
 	Boot   uint64        `cbor:"9,keyasint,omitempty"` // which start this is of that identity
+	// Resumed: until its first lease it may go on by what its disk knew at Knows; else it sends nothing then
+	Resumed bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Key names a party: a name and an incarnation.
@@ -114,8 +117,16 @@
 func (p *Party) Key() string { return Key(p.Name, p.Inc) }
 
 // knows tells whether the party, if it sends at all, knows what was named at an index. One that joined
-// later sends nothing before it was told the state as it is then.
-func (p *Party) knows(index uint64) bool { return max(p.Knows, p.Joined) >= index }
+// later sends nothing before it was told the state as it is then, unless it goes on by an older one.
+func (p *Party) knows(index uint64) bool { return p.Known() >= index }
+
+// Known is the index up to which the party surely knows what was named, if it sends at all.
+func (p *Party) Known() uint64 {
+	if p.Resumed {
+		return p.Knows
+	}
+	return max(p.Knows, p.Joined)
+}
 
 // Kind is what an entry does.
 type Kind uint8
@@ -141,6 +152,14 @@
 	Fail          // Machine, Why
 	GiveBack      // Machine, Index, Why: its room is needed, and it is not free yet
 	Name          // Machine, Fact: it may go out next; who is cut off from now on sends nothing new there
+	Raise         // Index: all understand entries of this level from now on
+)
+
+// Levels of what entries may say. A leader proposes nothing that a voter or party does not understand.
+const (
+	LevelFirst  = 1
+	LevelResume = 2 // parties that go on by their disk's knowledge, measured room, hot keys
+	LevelNow    = LevelResume
 )
 
 // Note is what a party has said.
@@ -155,6 +174,9 @@
 	Left     float64 `cbor:"1,keyasint"` // weight in service once the machine is out
 	ZoneLeft int     `cbor:"2,keyasint"` // machines in service in its zone then
 	Voter    bool    `cbor:"3,keyasint,omitempty"`
+	Room     float64 `cbor:"4,keyasint,omitempty"` // requests that the rest could hold then; 0: not known
+	Busy     float64 `cbor:"5,keyasint,omitempty"` // requests in work at machines, all proxies together
+	Hot      bool    `cbor:"6,keyasint,omitempty"` // it now serves a key that is a machine's load by itself
 }
 
 // Command is an entry.
@@ -198,6 +220,7 @@
 	Grace   time.Duration     `cbor:"8,keyasint"`  // the longest of any party ever
 	Turn    string            `cbor:"9,keyasint"`  // zone of the last grant
 	Boots   map[string]Boot   `cbor:"10,keyasint"` // the latest start of each name that was taken in
+	Level   uint64            `cbor:"11,keyasint,omitempty"`
 }
 
 // Boot is a start of an identity as a voter.
@@ -322,6 +345,9 @@
 		return s.submit(c.Order)
 	case Pause, Resume, Cancel:
 		return s.order(c)
+	case Raise:
+		s.Level = max(s.Level, c.Index)
+		return nil
 	}
 	w := s.Active(c.Machine)
 	if w == nil {
@@ -345,7 +371,10 @@
 		}
 	}
 	n := *p
-	n.Joined, n.Knows, n.Gone = s.Index, 0, false
+	n.Joined, n.Gone = s.Index, false
+	if n.Knows = min(n.Knows, s.Index); !n.Resumed {
+		n.Knows = 0
+	}
 	s.Parties[n.Key()] = &n
 	if b := s.Boots[n.Name]; b.ID != n.ID || b.Boot < n.Boot {
 		s.Boots[n.Name] = Boot{n.ID, n.Boot}
@@ -441,6 +470,8 @@
 		return fmt.Errorf("keep: %v, want a part from 0 to under 1", o.Keep)
 	case o.OutFor < 0:
 		return fmt.Errorf("out-for: %v, want at least 0", o.OutFor)
+	case !(o.Margin >= 0 && o.Margin <= mostMargin):
+		return fmt.Errorf("margin: %v, want 0 to %v", o.Margin, mostMargin)
 	}
 	seen := map[string]bool{}
 	for _, m := range o.Machines {
@@ -455,6 +486,9 @@
 	return nil
 }
 
+// mostMargin bounds an order's margin: more is a slip of the pen.
+const mostMargin = 10.0
+
 // tidy forgets the machines that orders are through with, the oldest first, and orders of which none is
 // left. An order's id is free again then.
 func (s *State) tidy() {
@@ -580,6 +614,15 @@
 		return fmt.Errorf("no room for those who are cut off: %.3g of weight %.3g would stay, %d in zone %s",
 			f.Left, o.Fleet, f.ZoneLeft, w.Machine.Zone)
 	}
+	return f.room(o)
+}
+
+// room says why the measured room would not do without a machine, nil if it would, or is not known.
+func (f *Fact) room(o *Order) error {
+	if f.Room > 0 && f.Room < (1+o.Margin)*f.Busy {
+		return fmt.Errorf("no room: the others could hold %.3g requests, %.3g are in work (order %s: margin %.3g)",
+			f.Room, f.Busy, o.ID, o.Margin)
+	}
 	return nil
 }
 
@@ -621,6 +664,12 @@
 			return fmt.Errorf("no room: %.3g of weight %.3g would stay, order %s keeps %.3g", f.Left, a.Fleet, a.ID,
 				a.Keep*a.Fleet)
 		}
+		if err := f.room(a); err != nil {
+			return err
+		}
+	}
+	if f.Hot {
+		return errors.New("it serves a hot key now")
 	}
 	if w.Machine.Proxy != "" && f.Voter {
 		for _, v := range s.Works {
@@ -664,11 +713,12 @@
 
 // Holding is the first party that may still have something at a machine, "" if there is none: it has not
 // said that it is clear, its lease is not among those that have surely run out, and it joined before the
-// grant (one that joins later knows of it with its first lease).
+// grant (one that joins later knows of it with its first lease, or by what its disk knew before).
 func (s *State) Holding(w *Work, expired []string) string {
 	for _, p := range s.sorted() {
 		stopped := slices.Contains(expired, p.Key()) && p.knows(w.Named)
-		if w.concerns(p) && p.Joined <= w.Granted && !w.Clear[p.Key()] && !stopped {
+		later := p.Joined > w.Granted && p.knows(w.Named)
+		if w.concerns(p) && !later && !w.Clear[p.Key()] && !stopped {
 			return p.Key()
 		}
 	}
--- a/internal/workplay/faults.go
+++ b/internal/workplay/faults.go
@@ -95,6 +95,14 @@
 		all = append(all, workorder.Seen{Machine: m.Machine, Ready: m.ready})
 	}
 	p.step(council.Inventory{Machines: all})
+	load := council.Load{Handled: 100, Busy: float64(len(p.flights))}
+	for _, m := range p.w.machines {
+		load.Rooms = append(load.Rooms, council.Room{Machine: m.ID, Most: 40 + 40*p.w.rng.Float64()})
+		if p.w.rng.IntN(20) == 0 && !p.w.healed {
+			load.Hot = append(load.Hot, m.ID)
+		}
+	}
+	p.step(load)
 }
 
 // deliver carries a message over the network.
@@ -206,7 +214,11 @@
 	}
 	p := w.proxies[w.rng.IntN(len(w.proxies))]
 	lasts := w.between(200*time.Millisecond, 12*time.Second)
-	switch w.rng.IntN(13) {
+	kind := w.rng.IntN(15)
+	if len(w.cfg.Kinds) > 0 {
+		kind = w.cfg.Kinds[w.rng.IntN(len(w.cfg.Kinds))]
+	}
+	switch kind {
 	case 0, 1: // killed, within what it is doing; back with its disk
 		if w.rng.IntN(2) == 0 {
 			p = w.leader(p)
@@ -261,6 +273,11 @@
 		} else if p.alive {
 			p.old = p.disk.copy()
 		}
+	case 13, 14: // it starts again while it is cut off, and goes on by what its disk knows
+		w.trace("%s starts again, cut off", p.name)
+		p.kill()
+		w.cutAll(p, w.rng.IntN(3) > 0, w.rng.IntN(3) > 0, lasts)
+		w.at(w.between(0, time.Second), p.start)
 	case 10: // it leaves, and comes back
 		if p.alive && !p.paused {
 			w.trace("%s leaves", p.name)
@@ -344,7 +361,10 @@
 	began := w.now
 	for _, p := range w.proxies {
 		p.killAt, p.disk.full = 0, false
-		p.resume()
+		if p.resume(); p.level > 0 { // the last ones are upgraded
+			p.kill()
+			p.level = 0
+		}
 		p.start()
 	}
 	var resume func()
