Play twelve more hard cases on real processes: two versions, clocks, full disk, lost lists

Need: hard cases of the work order had no test on real processes.

Change: test builds (tag rig) have a clock that runs fast, a disk that is full and a program of the version before; new words of the rig replace a machine at its address, slow all machines, skew the keys, and wait for what status gives as a reason. Scenarios: two versions and the way back refused, clocks 2 in 100 apart, another id at an old address, machines that fail while free and on their way back, a voter's full disk, half of the list lost, the list service out for a whole order, a zone's last room, all killed and one started alone, a proxy started deaf, a hot key, load that rises.

--- a/internal/faults/clients.go
+++ b/internal/faults/clients.go
@@ -31,7 +31,8 @@
 	hurting  bool      // the process is being killed, paused or let go on
 	hurt     time.Time // and when that was over last
 	away     atomic.Bool
-	admitted int // the start of the process that was ready once: clients come from then on
+	skewed   *atomic.Bool // half of the requests carry one key
+	admitted int          // the start of the process that was ready once: clients come from then on
 }
 
 // disturb notes that what is open at the process may get no answer, from its call with true to that with
@@ -117,6 +118,10 @@
 	case n%3 == 0:
 		class, deadline = "upload", 2*time.Second
 	}
+	key := fmt.Sprint(n % 50)
+	if n%2 == 0 && c.skewed.Load() {
+		key = "hot"
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+3*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.proc.Listen+"/api", body)
@@ -126,7 +131,7 @@
 	}
 	req.GetBody, req.ContentLength = nil, length
 	for k, v := range map[string]string{"Request-Id": id, "Request-Class": class, "Tenant": "port",
-		"Request-Timeout-Ms": fmt.Sprint(deadline.Milliseconds()), "Affinity-Key": fmt.Sprint(n % 50)} {
+		"Request-Timeout-Ms": fmt.Sprint(deadline.Milliseconds()), "Affinity-Key": key} {
 		req.Header.Set(k, v)
 	}
 	if class == "upload" {
--- a/internal/faults/discovery.go
+++ b/internal/faults/discovery.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// machineWeight is what each machine is listed with: as many requests as the rig has find room at few.
+const machineWeight = 4.0
+
 // Discovery is a stand-in list service for some machines.
 type Discovery struct {
 	ln net.Listener
@@ -86,7 +89,7 @@
 		}
 		m.mu.Lock()
 		list = append(list, map[string]any{"instanceId": m.ID, "hostPort": m.addr, "zone": m.Zone,
-			"machineType": m.Kind, "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": m.Started})
+			"machineType": m.Kind, "cell": 0, "lifecycle": "ready", "weight": machineWeight, "startedAtMs": m.Started})
 		m.mu.Unlock()
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{"generation": d.gen, "reset": true, "instances": list})
--- a/internal/faults/machine.go
+++ b/internal/faults/machine.go
@@ -23,8 +23,10 @@
 	open    int   // whole requests in work
 	runs    map[string]int
 	Served  int
-	Silent  bool // takes requests and answers none
+	Silent  bool          // takes requests and answers none
+	slow    time.Duration // what each request takes besides
 	on      bool
+	gone    bool // for good: another one has its address
 	gen     int
 }
 
@@ -80,11 +82,10 @@
 	if m.runs[id]++; m.runs[id] > 1 && r.Header.Get("Idempotency-Key") == "" {
 		m.fault(fmt.Errorf("request %s ran twice at %s", id, m.ID))
 	}
-	n, silent := m.open, m.Silent
+	n, silent, work := m.open, m.Silent, 2*time.Millisecond+m.slow
 	m.mu.Unlock()
-	work := 2 * time.Millisecond
 	if len(id)%7 == 0 {
-		work = 60 * time.Millisecond
+		work += 58 * time.Millisecond
 	}
 	if silent {
 		<-r.Context().Done()
--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -23,7 +23,9 @@
 	peersAt       string
 	dir           string
 	binary        string
-	alone         bool // it talks to no other proxy
+	alone         bool    // it talks to no other proxy
+	level         int     // what its program understands, as an earlier one; 0: all. For test builds
+	clock         float64 // how fast its clock runs; 0: right. For test builds
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -60,7 +62,8 @@
 	}
 	cmd := exec.Command(p.binary, args...)
 	cmd.Env = append(os.Environ(), "NODE_CONFIG=", "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=",
-		"NODE_ADMIN=", "NODE_PEERS=", "TMPDIR="+p.dir)
+		"NODE_ADMIN=", "NODE_PEERS=", "TMPDIR="+p.dir, fmt.Sprint("RIG_LEVEL=", p.level),
+		fmt.Sprint("RIG_CLOCK=", p.clock))
 	cmd.Stdout, cmd.Stderr = p, p
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -23,14 +23,19 @@
 
 // Scenario is a run: what there is, and steps that each wait for something that is observed.
 type Scenario struct {
-	Name     string        `yaml:"name"`
-	Proxies  int           `yaml:"proxies"`
-	Founders int           `yaml:"founders"` // 0: 3
-	Machines int           `yaml:"machines"`
-	Every    time.Duration `yaml:"every"`   // between two requests at each proxy
-	Work     time.Duration `yaml:"work"`    // staff work on a machine for so long
-	Patient  time.Duration `yaml:"patient"` // a step that waits longer is a fault; 0: 60s
-	Steps    []Step        `yaml:"steps"`
+	Name     string `yaml:"name"`
+	Proxies  int    `yaml:"proxies"`
+	Founders int    `yaml:"founders"` // 0: 3
+	Machines int    `yaml:"machines"`
+	Spare    int    `yaml:"spare"` // of them, the last ones are off and not listed at first
+	// Old proxies run, in test builds, as a program of the version before, until they are upgraded; Clocks says
+	// how fast proxies' clocks run there
+	Old     []string           `yaml:"old"`
+	Clocks  map[string]float64 `yaml:"clocks"`
+	Every   time.Duration      `yaml:"every"`   // between two requests at each proxy
+	Work    time.Duration      `yaml:"work"`    // staff work on a machine for so long
+	Patient time.Duration      `yaml:"patient"` // a step that waits longer is a fault; 0: 60s
+	Steps   []Step             `yaml:"steps"`
 }
 
 // Step waits until all of When holds, then does all of Do. docs/rig.md lists the words.
@@ -66,6 +71,7 @@
 	discovery *Discovery
 	clients   []*clients
 	began     time.Time
+	skewed    atomic.Bool
 
 	mu     sync.Mutex
 	judge  *workorder.Judge
@@ -210,8 +216,15 @@
 	if r.discovery, err = NewDiscovery(r.machines); err != nil {
 		return err
 	}
+	for _, m := range r.machines[max(0, len(r.machines)-r.sc.Spare):] {
+		m.Die()
+		r.discovery.Hide(m.ID, true)
+	}
 	for i := range r.sc.Proxies {
 		p := &Proc{Name: fmt.Sprintf("n%d", i), binary: binary, dir: filepath.Join(r.dir, fmt.Sprintf("n%d", i))}
+		if p.clock = r.sc.Clocks[p.Name]; slices.Contains(r.sc.Old, p.Name) {
+			p.level = workorder.LevelFirst
+		}
 		for _, at := range []*string{&p.Listen, &p.Admin, &p.peersAt} {
 			if *at, err = free(); err != nil {
 				return err
@@ -239,7 +252,8 @@
 		if err := p.configure(i, len(r.procs), r.discovery.Addr(), founders, peers); err != nil {
 			return err
 		}
-		r.clients = append(r.clients, &clients{proc: p, fault: r.wrong, every: max(r.sc.Every, time.Millisecond)})
+		r.clients = append(r.clients, &clients{proc: p, fault: r.wrong, every: max(r.sc.Every, time.Millisecond),
+			skewed: &r.skewed})
 	}
 	for _, p := range r.procs {
 		if err := p.Start(); err != nil {
@@ -362,6 +376,12 @@
 
 // on starts a machine anew.
 func (r *Rig) on(m *Machine) {
+	m.mu.Lock()
+	gone := m.gone
+	m.mu.Unlock()
+	if gone {
+		return
+	}
 	var err error
 	r.discovery.Change(func() { err = m.On() })
 	if err != nil {
@@ -465,6 +485,27 @@
 	return ""
 }
 
+// told are the lines of status that begin with some words, from whoever can say.
+func (r *Rig) told(words string) string {
+	var b strings.Builder
+	for _, p := range r.procs {
+		if !p.Running() || p.paused() {
+			continue
+		}
+		raw, err := p.Call("WORK STATUS")
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(raw) {
+			if strings.HasPrefix(line, words+" ") {
+				b.WriteString(line)
+			}
+		}
+		break
+	}
+	return b.String()
+}
+
 // served counts the requests that were served by a proxy, or by all.
 func (r *Rig) served(name string) (total int) {
 	r.mu.Lock()
@@ -536,6 +577,22 @@
 	case len(f) == 3 && f[0] == "served":
 		n, err := strconv.Atoi(f[2])
 		return err == nil && r.served(f[1]) >= n, err
+	case len(f) == 3 && f[0] == "level":
+		return strings.HasPrefix(r.told("level"), "level "+f[2]+" "), nil
+	case len(f) >= 3 && f[0] == "why": // a machine, or any, waits, and status says why
+		return strings.Contains(r.told(strings.TrimSuffix("machine "+f[1], " any")), strings.Join(f[2:], " ")), nil
+	case len(f) == 3 && f[0] == "served-by":
+		m, err := r.machine(f[1])
+		if err != nil {
+			return false, err
+		}
+		n, err := strconv.Atoi(f[2])
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.Served >= n, err
+	case len(f) == 2 && f[0] == "gone":
+		p, err := r.proc(f[1])
+		return err == nil && !p.Running(), err
 	case len(f) == 2 && f[0] == "through":
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -617,6 +674,22 @@
 			r.discovery.Hide(m.ID, f[0] == "hide")
 		}
 		return nil
+	case "replace": // replace m0 by m4: another machine, at its address
+		if len(f) != 4 {
+			return errors.New("want: replace MACHINE by MACHINE")
+		}
+		return r.replace(f[1], f[3])
+	case "slow": // slow 300ms: what each request takes besides, everywhere
+		d, err := time.ParseDuration(f[1])
+		for _, m := range r.machines {
+			m.mu.Lock()
+			m.slow = d
+			m.mu.Unlock()
+		}
+		return err
+	case "skew": // half of the requests carry one key
+		r.skewed.Store(f[1] == "on")
+		return nil
 	case "discovery":
 		r.discovery.Change(func() { r.discovery.Down = f[1] == "down" })
 		return nil
@@ -642,6 +715,14 @@
 		p.Signal(syscall.SIGCONT)
 	case "start":
 		return p.Start()
+	case "upgrade", "downgrade": // from its next start on
+		if p.level = 0; f[0] == "downgrade" {
+			p.level = workorder.LevelFirst
+		}
+	case "full":
+		return os.WriteFile(p.Disk()+".full", nil, 0o600)
+	case "empty":
+		return os.Remove(p.Disk() + ".full")
 	case "lose": // its disk
 		return os.RemoveAll(filepath.Dir(p.Disk()))
 	case "damage": // the disk, as a write that was cut
@@ -662,6 +743,33 @@
 	return nil
 }
 
+// replace has another machine take the address of one that is off for good.
+func (r *Rig) replace(old, by string) error {
+	was, err := r.machine(old)
+	if err != nil {
+		return err
+	}
+	m, err := r.machine(by)
+	if err != nil {
+		return err
+	}
+	was.mu.Lock()
+	at := was.addr
+	if was.trip != nil {
+		_ = was.trip.Close()
+		was.trip = nil
+	}
+	was.on, was.gone = false, true
+	was.mu.Unlock()
+	m.mu.Lock()
+	m.addr = at
+	m.mu.Unlock()
+	r.discovery.Hide(old, true)
+	r.on(m)
+	r.discovery.Hide(by, false)
+	return nil
+}
+
 func copyFile(from, to string) error {
 	raw, err := os.ReadFile(from)
 	if err != nil {
--- a/internal/faults/rig_test.go
+++ b/internal/faults/rig_test.go
@@ -18,7 +18,8 @@
 	if err == nil {
 		binary = filepath.Join(dir, "lilacglade")
 		var out []byte
-		out, err = exec.Command("go", "build", "-o", binary, "lilacglade/cmd/lilacglade").CombinedOutput()
+		build := exec.Command("go", "build", "-tags", "rig", "-o", binary, "lilacglade/cmd/lilacglade")
+		out, err = build.CombinedOutput()
 		if err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
