--- a/cmd/lilalab/fleet.go
+++ b/cmd/lilalab/fleet.go
@@ -20,12 +20,15 @@
 // fleetCommand plays several proxies that talk to each other: real processes from a scenario, or the same
 // state machines in virtual time.
 func fleetCommand(out io.Writer) *cobra.Command {
-	var plays, proxies, random, jobs, rounds, troubles int
+	var plays, proxies, random, jobs, rounds, troubles, orders int
 	var seed uint64
 	var steps bool
 	c := &cobra.Command{Use: "fleet [FILE]",
 		Short: "Play proxies that take machines out for work; fails when a promise was broken",
 		Args:  cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			if orders > 0 {
+				return orderCost(c.Context(), out, orders)
+			}
 			if rounds > 0 {
 				return idleCost(out, rounds)
 			}
@@ -62,6 +65,7 @@
 		}}
 	c.Flags().IntVar(&plays, "plays", 100, "schedules to play in virtual time")
 	c.Flags().IntVar(&rounds, "idle-cost", 0, "rounds of a proxy without peers and with idle ones, by turns")
+	c.Flags().IntVar(&orders, "order-cost", 0, "rounds of 12 of 40 machines taken out, by hand and by order")
 	c.Flags().IntVar(&troubles, "faults", 0, "faults of each schedule (default: drawn; under 0: none)")
 	c.Flags().IntVar(&random, "random", 0, "scenarios drawn from seeds to play on real processes")
 	c.Flags().IntVar(&jobs, "jobs", 2, "of them at once")
@@ -188,3 +192,46 @@
 	}
 	return err
 }
+
+// orderCost prints what it costs to take machines out, beside an idle fleet and the way by hand, as a table.
+func orderCost(ctx context.Context, out io.Writer, rounds int) error {
+	if program == "" {
+		return errors.New("fleet: --program: not set")
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	dir, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	fmt.Fprintln(out, "| way | load | fault | worth served | lost | failed | refused | s a machine | bytes/s a proxy |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	row := func(c faults.OrderCost, proxies int, err error) error {
+		o := c.Report.Outcomes
+		fmt.Fprintf(out, "| %s | %.1f | %s | %.4f | %d of %d | %d | %d | %.2f | %.0f |\n", c.Way, c.Load, c.Fault,
+			o.Worth/max(1, o.Possible), o.Lost, o.Asked, o.Failed, o.Refused, c.Each.Seconds(),
+			float64(c.Report.Peers)/float64(proxies)/c.Report.Ran.Seconds())
+		return err
+	}
+	for range rounds {
+		for _, load := range []float64{0.3, 0.8} {
+			for _, c := range []struct {
+				way   faults.Way
+				fault string
+			}{{faults.Idle, ""}, {faults.ByHand, ""}, {faults.ByOrder, ""}, {faults.ByHand, "killed"},
+				{faults.ByOrder, "killed"}, {faults.ByOrder, "cut"}, {faults.ByOrder, "paused"}} {
+				cost, err := faults.MeasureOrder(ctx, program, dir, c.way, load, c.fault)
+				if err := row(cost, 3, err); err != nil {
+					return err
+				}
+			}
+		}
+		cost, err := faults.MeasureRenewal(ctx, program, dir)
+		if err := row(cost, 20, err); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/faults/clients.go
+++ b/internal/faults/clients.go
@@ -15,9 +15,11 @@
 // Outcomes counts what clients were told. At any time what was asked is what came of it and what is open.
 type Outcomes struct {
 	Asked, Served, Refused, Failed int
-	Lost                           int // no answer, though the request was taken, and its process was well
-	Excused                        int // no answer, from a process that was killed or paused meanwhile
-	Unmet                          int // no connection
+	Lost                           int     // no answer, though the request was taken, and its process was well
+	Excused                        int     // no answer, from a process that was killed or paused meanwhile
+	Unmet                          int     // no connection
+	Worth                          float64 // of what was served: late answers count for a fifth
+	Possible                       float64 // of all that was asked
 }
 
 // clients ask one process all the time.
@@ -106,6 +108,14 @@
 
 const slowBody = 96 << 10
 
+// What the rig's configuration says of its classes.
+const (
+	classAim  = 400 * time.Millisecond
+	lateWorth = 0.2
+)
+
+var classWorth = map[string]float64{"edit": 5, "upload": 15}
+
 // ask asks once, without ever sending again.
 func (c *clients) ask(transport http.RoundTripper, n int) {
 	id := fmt.Sprintf("%s-%d-%d", c.proc.Name, c.proc.started(), n)
@@ -140,6 +150,7 @@
 	began := time.Now()
 	c.mu.Lock()
 	c.out.Asked++
+	c.out.Possible += classWorth[class]
 	c.mu.Unlock()
 	res, err := transport.RoundTrip(req)
 	var got []byte
@@ -163,7 +174,11 @@
 		o.Lost++
 		c.fault(fmt.Errorf("request %s was lost after %v: %w", id, time.Since(began), err))
 	case res.StatusCode == http.StatusOK:
-		o.Served++
+		if o.Served++; time.Since(began) <= classAim {
+			o.Worth += classWorth[class]
+		} else {
+			o.Worth += lateWorth * classWorth[class]
+		}
 		if want := fmt.Sprintf("%s %d", id, length); string(got) != want {
 			c.fault(fmt.Errorf("request %s was answered with %q", id, got))
 		}
--- a/internal/faults/discovery.go
+++ b/internal/faults/discovery.go
@@ -88,8 +88,12 @@
 			continue
 		}
 		m.mu.Lock()
+		state := "ready"
+		if m.drains {
+			state = "draining"
+		}
 		list = append(list, map[string]any{"instanceId": m.ID, "hostPort": m.addr, "zone": m.Zone,
-			"machineType": m.Kind, "cell": 0, "lifecycle": "ready", "weight": machineWeight, "startedAtMs": m.Started})
+			"machineType": m.Kind, "cell": 0, "lifecycle": state, "weight": machineWeight, "startedAtMs": m.Started})
 		m.mu.Unlock()
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{"generation": d.gen, "reset": true, "instances": list})
--- a/internal/faults/machine.go
+++ b/internal/faults/machine.go
@@ -26,7 +26,9 @@
 	Silent  bool          // takes requests and answers none
 	slow    time.Duration // what each request takes besides
 	on      bool
-	gone    bool // for good: another one has its address
+	gone    bool          // for good: another one has its address
+	drains  bool          // staff have discovery list it as draining
+	desk    chan struct{} // requests wait here to be worked on; nil: all are at once
 	gen     int
 }
 
@@ -87,6 +89,13 @@
 	if len(id)%7 == 0 {
 		work += 58 * time.Millisecond
 	}
+	if m.desk != nil {
+		select {
+		case m.desk <- struct{}{}:
+			defer func() { <-m.desk }()
+		case <-r.Context().Done():
+		}
+	}
 	if silent {
 		<-r.Context().Done()
 	} else {
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -30,12 +30,15 @@
 	Spare    int    `yaml:"spare"` // of them, the last ones are off and not listed at first
 	// Old proxies run, in test builds, as a program of the version before, until they are upgraded; Clocks says
 	// how fast proxies' clocks run there
-	Old     []string           `yaml:"old"`
-	Clocks  map[string]float64 `yaml:"clocks"`
-	Every   time.Duration      `yaml:"every"`   // between two requests at each proxy
-	Work    time.Duration      `yaml:"work"`    // staff work on a machine for so long
-	Patient time.Duration      `yaml:"patient"` // a step that waits longer is a fault; 0: 60s
-	Steps   []Step             `yaml:"steps"`
+	Old    []string           `yaml:"old"`
+	Clocks map[string]float64 `yaml:"clocks"`
+	// Takes is what a machine works on each request besides two milliseconds; serial ones work on one at a time
+	Takes   time.Duration `yaml:"takes"`
+	Serial  bool          `yaml:"serial"`
+	Every   time.Duration `yaml:"every"`   // between two requests at each proxy
+	Work    time.Duration `yaml:"work"`    // staff work on a machine for so long
+	Patient time.Duration `yaml:"patient"` // a step that waits longer is a fault; 0: 60s
+	Steps   []Step        `yaml:"steps"`
 }
 
 // Step waits until all of When holds, then does all of Do. docs/rig.md lists the words.
@@ -50,8 +53,9 @@
 	Machines map[string]string // where each machine stood last
 	Frees    int
 	Took     []StepTook
-	Peers    int64 // bytes that proxies sent each other
-	Ran      time.Duration
+	Peers    int64         // bytes that proxies sent each other
+	Began    time.Duration // when the first step's time had come
+	Ran      time.Duration // until the last step's time had come
 }
 
 // StepTook is how long a step waited.
@@ -140,6 +144,8 @@
 		t.Lost += o.Lost
 		t.Excused += o.Excused
 		t.Unmet += o.Unmet
+		t.Worth += o.Worth
+		t.Possible += o.Possible
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -153,7 +159,7 @@
 		report.Peers += relay.Bytes
 		relay.mu.Unlock()
 	}
-	report.Frees, report.Ran = r.judge.Frees, time.Since(r.began)
+	report.Frees = r.judge.Frees
 	return report, errors.Join(err, r.fault, r.judge.Fault)
 }
 
@@ -210,6 +216,9 @@
 		if err != nil {
 			return err
 		}
+		if m.slow = r.sc.Takes; r.sc.Serial {
+			m.desk = make(chan struct{}, 1)
+		}
 		r.machines = append(r.machines, m)
 	}
 	var err error
@@ -415,6 +424,9 @@
 				time.Sleep(pollEvery / 5)
 			}
 			report.Took = append(report.Took, StepTook{when, time.Since(began)})
+			if report.Ran = time.Since(r.began); i == 0 {
+				report.Began = report.Ran
+			}
 			r.say("seen: %s", when)
 		}
 		for _, do := range step.Do {
@@ -593,6 +605,11 @@
 	case len(f) == 2 && f[0] == "gone":
 		p, err := r.proc(f[1])
 		return err == nil && !p.Running(), err
+	case len(f) == 1 && f[0] == "by-hand":
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		_, done := r.calls["by-hand"]
+		return done, nil
 	case len(f) == 2 && f[0] == "through":
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -679,6 +696,17 @@
 			return errors.New("want: replace MACHINE by MACHINE")
 		}
 		return r.replace(f[1], f[3])
+	case "hand": // hand m0,m1 wait 2s: staff take them out by discovery alone, one after the other
+		if len(f) != 4 {
+			return errors.New("want: hand MACHINES wait TIME")
+		}
+		wait, err := time.ParseDuration(f[3])
+		if err != nil {
+			return err
+		}
+		r.open.Add(1)
+		go r.byHand(strings.Split(f[1], ","), wait)
+		return nil
 	case "slow": // slow 300ms: what each request takes besides, everywhere
 		d, err := time.ParseDuration(f[1])
 		for _, m := range r.machines {
@@ -743,6 +771,35 @@
 	return nil
 }
 
+// byHand is the way before orders: list a machine as draining, wait for so long, switch it off, work on it,
+// start it anew, and list it as ready; then the next.
+func (r *Rig) byHand(ids []string, wait time.Duration) {
+	defer r.open.Done()
+	for _, id := range ids {
+		m, err := r.machine(id)
+		if err != nil {
+			r.wrong(err)
+			return
+		}
+		drain := func(on bool) {
+			r.discovery.Change(func() {
+				m.mu.Lock()
+				m.drains = on
+				m.mu.Unlock()
+			})
+		}
+		drain(true)
+		time.Sleep(wait) // this is what staff do
+		m.Die()
+		time.Sleep(r.sc.Work)
+		drain(false)
+		r.on(m)
+	}
+	r.mu.Lock()
+	r.calls["by-hand"] = nil
+	r.mu.Unlock()
+}
+
 // replace has another machine take the address of one that is off for good.
 func (r *Rig) replace(old, by string) error {
 	was, err := r.machine(old)
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,40 @@
+package members
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestTable covers what a proxy believes of its peers: ages, earlier processes' late words, a bound.
+func TestTable(t *testing.T) {
+	table := New(10 * time.Second)
+	a := Member{Name: "a", Inc: 1, ID: 7, Boot: 2, Addr: "x"}
+	if !table.Heard(time.Second, a) || table.Heard(2*time.Second, a) {
+		t.Error("a process is news once")
+	}
+	late := a
+	late.Boot, late.Inc, late.Addr = 1, 9, "y"
+	if table.Heard(3*time.Second, late) || table.Get("a").Addr != "x" || table.Boot(7) != 2 {
+		t.Error("a late word of an earlier process counts")
+	}
+	again := a
+	again.Boot, again.Inc = 3, 2
+	if !table.Heard(4*time.Second, again) || table.Boot(7) != 3 {
+		t.Error("the next process is not known as another one")
+	}
+	for at, want := range map[time.Duration]State{4: Alive, 7: Alive, 8: Suspected, 14: Suspected, 15: Lost} {
+		if got := table.State(at*time.Second, "a", time.Second); got != want {
+			t.Errorf("at %d s it is %v, want %v", at, got, want)
+		}
+	}
+	if table.State(time.Hour, "b", time.Second) != Unknown {
+		t.Error("who was never heard is known")
+	}
+	for i := range maxMembers + 10 {
+		table.Heard(time.Minute+time.Duration(i), Member{Name: fmt.Sprint("m", i), ID: uint64(100 + i), Boot: 1})
+	}
+	if len(table.all) > maxMembers || table.Get("a") != nil || table.Get(fmt.Sprint("m", maxMembers)) == nil {
+		t.Errorf("%d are kept, or not the latest ones", len(table.all))
+	}
+}
