--- a/cmd/lilalab/fleet.go
+++ b/cmd/lilalab/fleet.go
@@ -206,7 +206,8 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	fmt.Fprintln(out, "| way | load | fault | worth served | lost | failed | refused | s a machine | bytes/s a proxy |")
+	fmt.Fprintln(out, "| way | load | fault | worth served | lost | failed | refused | s a machine | bytes/s "+
+		"a proxy |")
 	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	row := func(c faults.OrderCost, proxies int, err error) error {
 		o := c.Report.Outcomes
--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -11,7 +11,7 @@
 // Forever is the end of a lease that never ends.
 const Forever = time.Duration(1<<63 - 1)
 
-// restTurn: of so many turns one goes to those who are not likely to vote: the voters may all be others by now.
+// restTurn: of so many turns one goes to those who are not likely to vote: others may have the votes by now.
 const restTurn = 3
 
 // keptRenewals bounds the renewals whose answers still count.
--- a/internal/faults/ordercost.go
+++ b/internal/faults/ordercost.go
@@ -40,20 +40,21 @@
 	handWait     = 3 * time.Second
 )
 
-// MeasureOrder takes 12 of 40 machines out, in one of the ways, at a part of what the machines can do, with one
-// fault ("" for none: killed, paused, cut) at the leader while it goes on.
+// MeasureOrder takes 12 of 40 machines out, in one of the ways, at a part of what the machines can do, with
+// one fault ("" for none: killed, paused, cut) at the leader while it goes on.
 func MeasureOrder(ctx context.Context, binary, dir string, way Way, load float64, fault string) (OrderCost,
 	error) {
 	perSecond := load * costMachines / costMean.Seconds()
-	sc := Scenario{Name: string(way), Proxies: costProxies, Machines: costMachines, Serial: true, Takes: costTakes,
-		Every: time.Duration(costProxies / perSecond * 1e9), Work: costWork, Patient: 4 * time.Minute}
+	sc := Scenario{Name: string(way), Proxies: costProxies, Machines: costMachines, Serial: true,
+		Takes: costTakes, Every: time.Duration(costProxies / perSecond * 1e9), Work: costWork,
+		Patient: 4 * time.Minute}
 	var ids []string
 	for i := range costTaken {
 		ids = append(ids, fmt.Sprint("m", 3*i))
 	}
 	list := strings.Join(ids, ",")
-	begin := Step{When: []string{"ready all", "voters are 3", "level is 2", fmt.Sprint("served all ", costSettle),
-		"leader"}}
+	begin := Step{When: []string{"ready all", "voters are 3", "level is 2",
+		fmt.Sprint("served all ", costSettle), "leader"}}
 	end := Step{}
 	switch way {
 	case ByOrder:
