Let each proxy of a large fleet work with a part of the servers, as its own draw says

About 30 proxies work with each server, drawn by hash and weight, the own zone first; lost servers are replaced within a tick, and a full part is gone beyond. Up to 30 proxies all is as before. Crowds, trials and cold budgets are divided by the proxies that share a server.

--- a/balancer.go
+++ b/balancer.go
@@ -69,7 +69,7 @@
 // proxies.
 func (b *Balancer) inFlight(s *server) float64 {
 	if b.reported == 0 {
-		return float64(b.set.Balancers * s.load.out)
+		return b.peers * float64(s.load.out)
 	}
 	return s.load.held(b.others*s.base, b.now)
 }
@@ -95,7 +95,7 @@
 // capacity is what the sieve gives s: its base, lowered by the mean of the in-flight counts that
 // it lately reported. A single one is mostly chance, and would move keys back and forth.
 func (b *Balancer) capacity(s *server) float64 {
-	if s.State != Ready || s.aside && !b.noneUp {
+	if s.State != Ready || !s.mine || s.aside && !b.noneUp {
 		return 0
 	}
 	if b.noneUp || !s.reported || b.now-s.load.at > staleAfter || b.meanLoad <= 0 {
@@ -112,7 +112,7 @@
 			s.bound.idle(tick)
 		}
 		s.base = s.Weight * s.speed * b.cold(s)
-		if s.State == Ready && b.near(s) {
+		if s.State == Ready && s.mine && b.near(s) && !(s.aside && b.parted()) {
 			all += s.Weight * s.speed
 			present += s.base
 		}
@@ -147,8 +147,8 @@
 	b.due = b.due[:0]
 	for _, s := range b.order {
 		rate := b.arrivals / max(present, coldLeast*all, 1e-9) * s.base
-		if !b.near(s) {
-			rate = 0 // its own zone's proxies see to a cold server
+		if !b.near(s) || !s.mine {
+			rate = 0 // its own zone's proxies see to a cold server, those whose part it is of
 		}
 		s.burst = rate * coldBurst * b.set.TipWindow.Seconds()
 		if s.purse = min(s.purse+rate*step, s.burst); s.purse > 0 && b.cold(s) < 1 {
@@ -177,6 +177,7 @@
 		}
 	}
 	b.double(ready)
+	b.portion()
 	b.total = 0
 	for _, s := range b.order {
 		s.d = b.capacity(s)
@@ -206,7 +207,7 @@
 	}
 	// Guards against a crowd: what waits behind so many is late, and slows the others down. Own
 	// attempts count, as this proxy's part: they end by themselves, where a report may stay old.
-	if float64(s.load.out*b.set.Balancers) >= crowd*s.Weight {
+	if float64(s.load.out)*b.peers >= crowd*s.Weight {
 		return false
 	}
 	// Guards against queues kept full, which choke a server: the less a request is worth, the more room
@@ -226,7 +227,8 @@
 	// Guards against a cold server left idle by a large fleet: a proxy's budget there is less than one
 	// request, and a hit seldom comes while it lasts. So the next request goes there once it is due.
 	for _, s := range b.due {
-		if s.burst < r.work && b.cold(s) < 1 && b.may(s, r, true) && b.slowness(s, b.inFlight(s)+1) <= bound {
+		if s.burst < b.waits()*r.work && b.cold(s) < 1 && b.may(s, r, true) &&
+			b.slowness(s, b.inFlight(s)+1) <= bound {
 			return s
 		}
 	}
@@ -253,9 +255,12 @@
 		return away
 	}
 	var best *server
-	for _, avoid := range []bool{true, false} { // such servers are better than none
-		most := math.Inf(-1)
+	for pass := range 3 { // servers beyond its part, and those to be avoided, are better than none
+		most, avoid := math.Inf(-1), pass < 2
 		for _, s := range b.order {
+			if pass == 0 && !s.mine {
+				continue
+			}
 			left := s.base / (1 + b.inFlight(s)/max(1e-9, s.base*b.meanLoad))
 			if left > most && b.may(s, r, avoid) {
 				best, most = s, left
@@ -277,7 +282,7 @@
 		return nil
 	}
 	for _, s := range b.order {
-		if s.aside && !b.noneUp && s.State == Ready && s.load.out == 0 && b.now >= s.trialAt &&
+		if s.aside && s.mine && !b.noneUp && s.State == Ready && s.load.out == 0 && b.now >= s.trialAt &&
 			(b.cold(s) == 1 || s.purse > 0) && b.covered(r, s) {
 			s.trialAt = b.now + s.wait
 			return s
@@ -545,8 +550,10 @@
 		}
 		// Guards against a server lost in silence: its ranges go back at once. And against all proxies
 		// trying it together: the more there are, the longer each waits.
-		if s.wait = min(max(firstWait, b.sharers*trialEvery, 2*s.wait), longestWait); !s.aside {
-			s.aside = true
+		if s.wait = min(max(firstWait, b.sharing()*trialEvery, 2*s.wait), longestWait); !s.aside {
+			if s.aside = true; b.parted() {
+				b.refresh = b.now // its part is made good with the next tick
+			}
 			b.logf("server %x is set aside: result %d, evidence %.1f", uint64(s.ID), ev.Result, s.doubt)
 			b.resize(s, 0)
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -785,7 +785,7 @@
 		trials, calls, cold := 0, 0, map[time.Duration]int{}
 		for i := range n {
 			set := testSettings()
-			set.Balancers, set.ColdShare, set.AskForList = n, 0.3, true
+			set.Me, set.Balancers, set.ColdShare, set.AskForList = i, n, 0.3, true
 			p := newProxy(t, set, uint64(i+1), fleet(16)...)
 			p.asked = RequestID(i << 20) // each has keys of its own
 			lost, fresh, asks := p.b.order[0].ID, fleet(16)[1], p.now
--- a/state.go
+++ b/state.go
@@ -29,6 +29,8 @@
 	okAt     time.Duration // its last answer
 	purse    float64       // work that this proxy may send it while it is cold
 	burst    float64       // the most that purse may hold
+	draw     float64       // its place in this proxy's order of servers
+	mine     bool          // it is of the part that this proxy works with
 }
 
 // standing is what the attempts of one class say of a server.
@@ -101,7 +103,9 @@
 	tenants  []float64     // allowance left in each tenant's bucket
 	retries  float64
 	homely   bool          // servers of the own zone go first
-	sharers  time.Duration // about how many proxies send to one server
+	sharers  time.Duration // how many proxies may send to one server
+	peers    float64       // how many do, by its part of the servers
+	drawn    []*server     // servers in this proxy's order
 	due      []*server     // cold servers that this proxy's budget has something for
 	tries    float64       // attempts that ended lately at sound servers
 	failed   float64       // and those of them that failed
@@ -123,7 +127,7 @@
 	b := &Balancer{set: set, rng: seed, servers: map[ServerID]*server{},
 		requests: map[RequestID]*request{}, held: map[uint32]RequestID{}, token: firstToken, noneUp: true,
 		ranges: make([]slot, 2), retries: retryStock, meanSlow: 1,
-		firsts: make([]firsts, len(set.Classes))}
+		firsts: make([]firsts, len(set.Classes)), peers: float64(set.Balancers)}
 	for _, c := range set.Classes {
 		b.works = append(b.works, fit{y: c.Aim.Seconds() / 4})
 		b.meanWork += c.Aim.Seconds() / 4 / float64(len(set.Classes))
@@ -232,7 +236,8 @@
 
 // enlist makes room for a server that is new, in the order of ids.
 func (b *Balancer) enlist(id ServerID) *server {
-	s := &server{speed: 1, Server: Server{Weight: 1}, classes: make([]standing, len(b.set.Classes))}
+	s := &server{speed: 1, Server: Server{Weight: 1}, classes: make([]standing, len(b.set.Classes)),
+		draw: b.draw(id), mine: true}
 	b.servers[id] = s
 	at, _ := slices.BinarySearchFunc(b.order, id, func(s *server, id ServerID) int {
 		return cmp.Compare(s.ID, id)
