Keep the disk of a proxy that leaves, and count calls for the list in the lab

Its party had left; a call that it had made before came to the leader late, which knew the party no more and answered as to an older disk (Lease.Retire, renewing in lead.go).

Change: who leaves does not heed that answer (TestLeavingKeepsItsDisk fails without).

--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -377,3 +377,19 @@
 		}
 	}
 }
+
+// TestLeavingKeepsItsDisk guards against a call of a party that comes to the leader after the party has left:
+// the answer to a process that it doesn't know any more would cost a voter its disk.
+func TestLeavingKeepsItsDisk(t *testing.T) {
+	b := newTable(t, 3, None)
+	leader := b.ready()
+	c := b.all["p2"]
+	b.cut = func(from, to string) bool { return from == "p2" || to == "p2" }
+	b.step("p2", Leaving{})
+	b.pass(time.Second)
+	b.step("p2", Received{workorder.Encode(Envelope{Version: 1, From: leader, Inc: b.all[leader].cfg.Inc, To: "p2",
+		Cluster: c.cluster, Lease: &Lease{Seq: c.party.seq, Retire: true, Leader: leader}})})
+	if c.core == nil || c.cluster == 0 {
+		t.Error("a proxy that leaves gives up its disk")
+	}
+}
--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -146,6 +146,8 @@
 		}
 	}
 	switch {
+	case l.Retire && p.leaving:
+		return // an earlier call of this party came to the leader after it had left: its disk is as it should be
 	case l.Retire:
 		c.retire("the disk is older than what the log knows of it")
 		return
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -56,6 +56,9 @@
 		r.Crossing,
 		turned(r), r.DeadLegs)
 	row("openings", "%d, at most %d open at one server", r.Openings, r.MostOpen)
+	l := r.Lists
+	row("calls for the list", "%d, at most %d in a second; answered %d, failed %d; %d behind at once, %d "+
+		"proxy seconds", l.Asked, l.Peak, l.Answered, l.Failed, l.MostBehind, l.Behind)
 	row("work", "%.1f s, of which for nothing %.1f s", r.Work, r.Wasted)
 	row("latency, ms", "p50 %s  p90 %s  p99 %s  p99.9 %s  max %s", ms(r.Latency.P50), ms(r.Latency.P90),
 		ms(r.Latency.P99), ms(r.Latency.P999), ms(r.Latency.Max))
--- a/internal/world/discovery.go
+++ b/internal/world/discovery.go
@@ -196,6 +196,7 @@
 	p.call = c
 	right := address == w.DiscoveryAddress()
 	w.Clock.After(callDelay, func() {
+		w.result.listAsked(w.Clock.Now())
 		if !right || w.discovery.down > 0 {
 			w.discovery.finish(c, nil)
 			return
@@ -211,6 +212,7 @@
 		return
 	}
 	c.over = true
+	w.result.Lists.Failed++
 	if p := w.proxies[c.Proxy]; p.call == c {
 		p.call, p.lastCall, p.failed = nil, w.Clock.Now(), true
 	}
@@ -286,7 +288,10 @@
 		p := d.w.proxies[c.Proxy]
 		p.call, p.lastCall, p.failed = nil, d.w.Clock.Now(), doc == nil
 		if doc != nil {
+			d.w.result.Lists.Answered++
 			d.w.judge.tell(c.Proxy, doc)
+		} else {
+			d.w.result.Lists.Failed++
 		}
 		d.w.driver.Tell(c, doc)
 	})
--- a/internal/world/result.go
+++ b/internal/world/result.go
@@ -53,6 +53,7 @@
 	Turned   map[string]int    `json:"turned_away"`
 	Openings int               `json:"openings"`
 	MostOpen int               `json:"most_open"` // connections of one server
+	Lists    Lists             `json:"lists"`     // calls for the list
 	DeadLegs int               `json:"dead_legs"` // requests written on legs that were dropped in silence
 	Repeats  int               `json:"repeats"`   // runs of keyed requests whose effect was dropped
 	Tipped   int               `json:"tipped"`
@@ -76,6 +77,14 @@
 	open      int
 }
 
+// Lists counts calls for the list over all proxies, and how long they went without the latest one.
+type Lists struct {
+	Asked, Answered, Failed int // failed: turned away, late, or given up
+	Peak                    int // calls in one second
+	MostBehind              int // proxies that held an older list at once
+	Behind                  int // proxies times seconds that they did
+}
+
 // Share is worth served against worth asked for.
 type Share struct {
 	Offered float64 `json:"offered"`
@@ -108,6 +117,8 @@
 	Failed   int     `json:"failed"`
 	Attempts int     `json:"attempts"`
 	Openings int     `json:"openings"`
+	Lists    int     `json:"lists"`     // calls for the list that reached discovery
+	Behind   int     `json:"behind"`    // proxies that run and hold an older list than discovery, at its start
 	InFlight int     `json:"in_flight"` // at all servers, at its start
 	Conns    int     `json:"connections"`
 	Most     int     `json:"most_in_flight"` // at one server
@@ -145,6 +156,13 @@
 			s.Held = append(s.Held, n)
 		}
 	}
+	for _, p := range w.proxies {
+		if p.up && p.told0 < w.discovery.version {
+			s.Behind++
+		}
+	}
+	r.Lists.Behind += s.Behind
+	r.Lists.MostBehind = max(r.Lists.MostBehind, s.Behind)
 	r.conns += float64(s.Conns)
 	r.samples++
 	if next := w.Clock.Now() + time.Second; next < w.sc.Duration {
@@ -186,6 +204,13 @@
 	r.MostOpen = max(r.MostOpen, open)
 }
 
+func (r *Result) listAsked(now time.Duration) {
+	s := r.second(now)
+	s.Lists++
+	r.Lists.Asked++
+	r.Lists.Peak = max(r.Lists.Peak, s.Lists)
+}
+
 // ended counts how a try ended.
 func (r *Result) ended(w *World, a *Ask, how outcome) {
 	r.Outcomes[how]++
