--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -387,8 +387,8 @@
 	b.cut = func(from, to string) bool { return from == "p2" || to == "p2" }
 	b.step("p2", Leaving{})
 	b.pass(time.Second)
-	b.step("p2", Received{workorder.Encode(Envelope{Version: 1, From: leader, Inc: b.all[leader].cfg.Inc, To: "p2",
-		Cluster: c.cluster, Lease: &Lease{Seq: c.party.seq, Retire: true, Leader: leader}})})
+	b.step("p2", Received{workorder.Encode(Envelope{Version: 1, From: leader, Inc: b.all[leader].cfg.Inc,
+		To: "p2", Cluster: c.cluster, Lease: &Lease{Seq: c.party.seq, Retire: true, Leader: leader}})})
 	if c.core == nil || c.cluster == 0 {
 		t.Error("a proxy that leaves gives up its disk")
 	}
