--- a/cmd/lilalab/fleet.go
+++ b/cmd/lilalab/fleet.go
@@ -221,8 +221,8 @@
 			for _, c := range []struct {
 				way   faults.Way
 				fault string
-			}{{faults.Idle, ""}, {faults.ByHand, ""}, {faults.ByOrder, ""}, {faults.ByHand, "killed"},
-				{faults.ByOrder, "killed"}, {faults.ByOrder, "cut"}, {faults.ByOrder, "paused"}} {
+			}{{faults.Idle, ""}, {faults.ByHand, ""}, {faults.ByOrder, ""}, {faults.ByOrder, "killed"},
+				{faults.ByOrder, "cut"}, {faults.ByOrder, "paused"}} {
 				cost, err := faults.MeasureOrder(ctx, program, dir, c.way, load, c.fault)
 				if err := row(cost, 3, err); err != nil {
 					return err
--- a/internal/faults/discovery.go
+++ b/internal/faults/discovery.go
@@ -23,6 +23,16 @@
 	news     chan struct{}   // closed at each change
 	Down     bool
 	Calls    int
+	work     time.Duration // that a whole list takes, one after the other; 0: none
+	waits    int           // calls that may wait; others are turned away; 0: any number
+	waiting  int
+	desk     sync.Mutex
+	short    bool // lists are sent cut short
+	back     bool // it has gone back to the list of then
+	old      []any
+	kept     uint64 // generation of old
+	seconds  map[int64]int
+	Turned   int // calls that were turned away
 }
 
 // NewDiscovery lists the machines.
@@ -31,7 +41,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Discovery{ln: ln, gen: 1, machines: machines, hidden: map[string]bool{}, news: make(chan struct{})}
+	d := &Discovery{ln: ln, gen: 1, machines: machines, hidden: map[string]bool{}, news: make(chan struct{}),
+		seconds: map[int64]int{}}
 	go http.Serve(ln, d)
 	return d, nil
 }
@@ -59,7 +70,11 @@
 	since, watch := r.URL.Query().Get("since"), r.URL.Query().Get("timeout_ms")
 	d.mu.Lock()
 	d.Calls++
+	d.seconds[time.Now().Unix()]++
 	gen, news, down := d.gen, d.news, d.Down
+	if d.back {
+		gen = d.kept
+	}
 	d.mu.Unlock()
 	if wait, err := strconv.Atoi(watch); err == nil && since == strconv.FormatUint(gen, 10) && !down {
 		timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
@@ -76,12 +91,34 @@
 			return
 		}
 	}
+	if !d.turn() {
+		http.Error(w, "too many callers", http.StatusServiceUnavailable)
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.Down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
+	gen, list := d.gen, d.list()
+	if d.back {
+		gen, list = d.kept, d.old
+	}
+	raw, err := json.Marshal(map[string]any{"generation": gen, "reset": true, "instances": list})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if d.short {
+		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		raw = raw[:len(raw)/2]
+	}
+	_, _ = w.Write(raw)
+}
+
+// list words the machines as they are listed.
+func (d *Discovery) list() []any {
 	list := []any{}
 	for _, m := range d.machines {
 		if d.hidden[m.ID] {
@@ -96,5 +133,37 @@
 			"machineType": m.Kind, "cell": 0, "lifecycle": state, "weight": machineWeight, "startedAtMs": m.Started})
 		m.mu.Unlock()
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"generation": d.gen, "reset": true, "instances": list})
+	return list
+}
+
+// turn waits until a whole list can be worked on; false: there are too many who wait.
+func (d *Discovery) turn() bool {
+	d.mu.Lock()
+	work := d.work
+	if d.waits > 0 && d.waiting >= d.waits {
+		d.Turned++
+		d.mu.Unlock()
+		return false
+	}
+	d.waiting++
+	d.mu.Unlock()
+	if work > 0 {
+		d.desk.Lock()
+		time.Sleep(work)
+		d.desk.Unlock()
+	}
+	d.mu.Lock()
+	d.waiting--
+	d.mu.Unlock()
+	return true
+}
+
+// Peak is the most calls in one second.
+func (d *Discovery) Peak() (most int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range d.seconds {
+		most = max(most, n)
+	}
+	return most
 }
--- a/internal/faults/machine.go
+++ b/internal/faults/machine.go
@@ -26,6 +26,11 @@
 	Silent  bool          // takes requests and answers none
 	slow    time.Duration // what each request takes besides
 	on      bool
+	most    int // connections that it takes; 0: any number
+	opened  int // connections, all in all
+	refused int // and of them those beyond most
+	conns   int
+	held    int           // most at once
 	gone    bool          // for good: another one has its address
 	drains  bool          // staff have discovery list it as draining
 	desk    chan struct{} // requests wait here to be worked on; nil: all are at once
@@ -69,10 +74,52 @@
 	m.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		m.serve(gen, w, r)
 	})}
-	go m.server.Serve(ln)
+	m.server.ConnState = m.counted
+	m.conns = 0
+	go m.server.Serve(door{ln, m})
 	return nil
 }
 
+// door turns away connections beyond what a machine takes.
+type door struct {
+	net.Listener
+	m *Machine
+}
+
+// Accept takes the next connection that there is room for.
+func (d door) Accept() (net.Conn, error) {
+	for {
+		conn, err := d.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		d.m.mu.Lock()
+		d.m.opened++
+		full := d.m.most > 0 && d.m.conns >= d.m.most
+		if full {
+			d.m.refused++
+		}
+		d.m.mu.Unlock()
+		if !full {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// counted counts the connections that are open.
+func (m *Machine) counted(_ net.Conn, s http.ConnState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		m.conns++
+		m.held = max(m.held, m.conns)
+	case http.StateClosed, http.StateHijacked:
+		m.conns--
+	}
+}
+
 func (m *Machine) serve(gen int, w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/internal/faults/rig.go
+++ b/internal/faults/rig.go
@@ -33,14 +33,45 @@
 	Old    []string           `yaml:"old"`
 	Clocks map[string]float64 `yaml:"clocks"`
 	// Takes is what a machine works on each request besides two milliseconds; serial ones work on one at a time
-	Takes   time.Duration `yaml:"takes"`
-	Serial  bool          `yaml:"serial"`
-	Every   time.Duration `yaml:"every"`   // between two requests at each proxy
-	Work    time.Duration `yaml:"work"`    // staff work on a machine for so long
-	Patient time.Duration `yaml:"patient"` // a step that waits longer is a fault; 0: 60s
+	Takes  time.Duration `yaml:"takes"`
+	Serial bool          `yaml:"serial"`
+	// Alone proxies talk to no other, as in run. Told is how many proxies their settings tell of; 0: as many as
+	// there are. Of the list service: how long a list takes, and how many calls may wait for theirs
+	Alone   bool          `yaml:"alone"`
+	Told    int           `yaml:"told"`
+	List    time.Duration `yaml:"list"`
+	Waits   int           `yaml:"waits"`
+	Conns   int           `yaml:"connections"` // that a machine takes; 0: any number
+	Most    Bounds        `yaml:"most"`        // what may not be exceeded over the run
+	Every   time.Duration `yaml:"every"`       // between two requests at each proxy
+	Work    time.Duration `yaml:"work"`        // staff work on a machine for so long
+	Patient time.Duration `yaml:"patient"`     // a step that waits longer is a fault; 0: 60s
 	Steps   []Step        `yaml:"steps"`
 }
 
+// Bounds are what a start may cost all proxies together; 0: no bound.
+type Bounds struct {
+	Lists   int `yaml:"lists"`   // calls for the list
+	Peak    int `yaml:"peak"`    // of them in one second
+	Opened  int `yaml:"opened"`  // connections to machines
+	Held    int `yaml:"held"`    // connections to one machine at once
+	Refused int `yaml:"refused"` // connections that machines turned away
+}
+
+// over says what of a cost is beyond the bounds, nil if nothing is.
+func (b Bounds) over(c Bounds) error {
+	for _, x := range []struct {
+		name      string
+		most, got int
+	}{{"lists", b.Lists, c.Lists}, {"peak", b.Peak, c.Peak}, {"opened", b.Opened, c.Opened},
+		{"held", b.Held, c.Held}, {"refused", b.Refused, c.Refused}} {
+		if x.most > 0 && x.got > x.most {
+			return fmt.Errorf("%s: %d, at most %d", x.name, x.got, x.most)
+		}
+	}
+	return nil
+}
+
 // Step waits until all of When holds, then does all of Do. docs/rig.md lists the words.
 type Step struct {
 	When []string `yaml:"when"`
@@ -53,7 +84,8 @@
 	Machines map[string]string // where each machine stood last
 	Frees    int
 	Took     []StepTook
-	Peers    int64         // bytes that proxies sent each other
+	Peers    int64 // bytes that proxies sent each other
+	Cost     Bounds
 	Began    time.Duration // when the first step's time had come
 	Ran      time.Duration // until the last step's time had come
 }
@@ -112,6 +144,9 @@
 	}
 	var watching, asking sync.WaitGroup
 	for _, p := range r.procs {
+		if sc.Alone {
+			break
+		}
 		watching.Add(1)
 		go func() {
 			defer watching.Done()
@@ -160,7 +195,15 @@
 		relay.mu.Unlock()
 	}
 	report.Frees = r.judge.Frees
-	return report, errors.Join(err, r.fault, r.judge.Fault)
+	report.Cost = Bounds{Lists: r.discovery.Calls, Peak: r.discovery.Peak()}
+	for _, m := range r.machines {
+		m.mu.Lock()
+		report.Cost.Opened += m.opened
+		report.Cost.Refused += m.refused
+		report.Cost.Held = max(report.Cost.Held, m.held)
+		m.mu.Unlock()
+	}
+	return report, errors.Join(err, r.fault, r.judge.Fault, sc.Most.over(report.Cost))
 }
 
 func (r *Rig) say(format string, args ...any) {
@@ -216,6 +259,7 @@
 		if err != nil {
 			return err
 		}
+		m.most = r.sc.Conns
 		if m.slow = r.sc.Takes; r.sc.Serial {
 			m.desk = make(chan struct{}, 1)
 		}
@@ -225,12 +269,14 @@
 	if r.discovery, err = NewDiscovery(r.machines); err != nil {
 		return err
 	}
+	r.discovery.work, r.discovery.waits = r.sc.List, r.sc.Waits
 	for _, m := range r.machines[max(0, len(r.machines)-r.sc.Spare):] {
 		m.Die()
 		r.discovery.Hide(m.ID, true)
 	}
 	for i := range r.sc.Proxies {
-		p := &Proc{Name: fmt.Sprintf("n%d", i), binary: binary, dir: filepath.Join(r.dir, fmt.Sprintf("n%d", i))}
+		p := &Proc{Name: fmt.Sprintf("n%d", i), binary: binary, dir: filepath.Join(r.dir, fmt.Sprintf("n%d", i)),
+			alone: r.sc.Alone}
 		if p.clock = r.sc.Clocks[p.Name]; slices.Contains(r.sc.Old, p.Name) {
 			p.level = workorder.LevelFirst
 		}
@@ -248,7 +294,7 @@
 	for i, p := range r.procs {
 		peers := map[string]string{}
 		for _, o := range r.procs {
-			if o == p {
+			if o == p || r.sc.Alone {
 				continue
 			}
 			relay, err := NewRelay(o.peersAt)
@@ -258,7 +304,7 @@
 			r.relays[[2]string{p.Name, o.Name}] = relay
 			peers[o.Name] = relay.Addr()
 		}
-		if err := p.configure(i, len(r.procs), r.discovery.Addr(), founders, peers); err != nil {
+		if err := p.configure(i, cmp.Or(r.sc.Told, len(r.procs)), r.discovery.Addr(), founders, peers); err != nil {
 			return err
 		}
 		r.clients = append(r.clients, &clients{proc: p, fault: r.wrong, every: max(r.sc.Every, time.Millisecond),
@@ -624,7 +670,7 @@
 		defer r.mu.Unlock()
 		err, ok := r.calls[f[1]]
 		return ok && (f[2] == "done") == (err == nil), nil
-	case len(f) >= 4 && f[0] == "log":
+	case len(f) >= 3 && f[0] == "log":
 		p, err := r.proc(f[1])
 		return err == nil && strings.Contains(p.Log(), strings.Join(f[2:], " ")), err
 	case len(f) == 2 && f[0] == "known": // every proxy has said that it knows that the machine may go out
@@ -719,7 +765,14 @@
 		r.skewed.Store(f[1] == "on")
 		return nil
 	case "discovery":
-		r.discovery.Change(func() { r.discovery.Down = f[1] == "down" })
+		return r.listService(f[1])
+	}
+	if names := r.several(f[1]); len(names) > 0 {
+		for _, name := range names {
+			if err := r.do(f[0] + " " + strings.Join(append([]string{name}, f[2:]...), " ")); err != nil {
+				return err
+			}
+		}
 		return nil
 	}
 	p, err := r.proc(f[1])
@@ -800,6 +853,45 @@
 	r.mu.Unlock()
 }
 
+// several are the proxies of a list of names, or of all; nil: it names one.
+func (r *Rig) several(names string) []string {
+	if names == "all" {
+		var all []string
+		for _, p := range r.procs {
+			all = append(all, p.Name)
+		}
+		return all
+	}
+	if list := strings.Split(names, ","); len(list) > 1 {
+		return list
+	}
+	return nil
+}
+
+// listService has the list service fail, or be well again.
+func (r *Rig) listService(how string) error {
+	d := r.discovery
+	switch how {
+	case "down", "up":
+		d.Change(func() { d.Down = how == "down" })
+	case "short", "whole": // lists come cut short
+		d.Change(func() { d.short = how == "short" })
+	case "keep": // what it would go back to
+		d.mu.Lock()
+		d.old, d.kept = d.list(), d.gen
+		d.mu.Unlock()
+	case "back", "forth": // it has started anew from what it kept
+		d.mu.Lock()
+		d.back = how == "back"
+		close(d.news)
+		d.news = make(chan struct{})
+		d.mu.Unlock()
+	default:
+		return fmt.Errorf("discovery %s: not understood", how)
+	}
+	return nil
+}
+
 // replace has another machine take the address of one that is off for good.
 func (r *Rig) replace(old, by string) error {
 	was, err := r.machine(old)
--- a/internal/faults/rig_test.go
+++ b/internal/faults/rig_test.go
@@ -37,7 +37,17 @@
 // TestScenarios plays the scenarios of lab/fleet on real processes: each is a hard case of taking machines
 // out, with requests all the time. The judge is the one of the plays in virtual time.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("../../lab/fleet/*.yaml")
+	scenarios(t, "../../lab/fleet/*.yaml", func(r Report) bool { return r.Frees > 0 })
+}
+
+// TestStarts plays the starts of many proxies in lab/start: what they cost the list service and the machines is
+// counted there, and has bounds for all of them together.
+func TestStarts(t *testing.T) {
+	scenarios(t, "../../lab/start/*.yaml", func(Report) bool { return true })
+}
+
+func scenarios(t *testing.T, pattern string, good func(Report) bool) {
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatal("no scenarios", err)
 	}
@@ -57,7 +67,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if o := report.Outcomes; o.Served < o.Asked/2 || report.Frees == 0 {
+			if o := report.Outcomes; o.Served < o.Asked/2 || !good(report) {
 				t.Errorf("served %d of %d, %d machines told free", o.Served, o.Asked, report.Frees)
 			}
 		})
