--- a/internal/faults/rig_test.go
+++ b/internal/faults/rig_test.go
@@ -40,8 +40,8 @@
 	scenarios(t, "../../lab/fleet/*.yaml", func(r Report) bool { return r.Frees > 0 })
 }
 
-// TestStarts plays the starts of many proxies in lab/start: what they cost the list service and the machines is
-// counted there, and has bounds for all of them together.
+// TestStarts plays the starts of many proxies in lab/start: what they cost the list service and the machines
+// is counted there, and has bounds for all of them together.
 func TestStarts(t *testing.T) {
 	scenarios(t, "../../lab/start/*.yaml", func(Report) bool { return true })
 }
