--- a/cmd/lilalab/fleet.go
+++ b/cmd/lilalab/fleet.go
@@ -22,12 +22,13 @@
 func fleetCommand(out io.Writer) *cobra.Command {
 	var plays, proxies, random, jobs, rounds, troubles, orders int
 	var seed uint64
+	var loads []float64
 	var steps bool
 	c := &cobra.Command{Use: "fleet [FILE]",
 		Short: "Play proxies that take machines out for work; fails when a promise was broken",
 		Args:  cobra.MaximumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
 			if orders > 0 {
-				return orderCost(c.Context(), out, orders)
+				return orderCost(c.Context(), out, orders, loads)
 			}
 			if rounds > 0 {
 				return idleCost(out, rounds)
@@ -66,6 +67,7 @@
 	c.Flags().IntVar(&plays, "plays", 100, "schedules to play in virtual time")
 	c.Flags().IntVar(&rounds, "idle-cost", 0, "rounds of a proxy without peers and with idle ones, by turns")
 	c.Flags().IntVar(&orders, "order-cost", 0, "rounds of 12 of 40 machines taken out, by hand and by order")
+	c.Flags().Float64SliceVar(&loads, "load", []float64{0.3, 0.8}, "of what machines can do, for --order-cost")
 	c.Flags().IntVar(&troubles, "faults", 0, "faults of each schedule (default: drawn; under 0: none)")
 	c.Flags().IntVar(&random, "random", 0, "scenarios drawn from seeds to play on real processes")
 	c.Flags().IntVar(&jobs, "jobs", 2, "of them at once")
@@ -194,7 +196,7 @@
 }
 
 // orderCost prints what it costs to take machines out, beside an idle fleet and the way by hand, as a table.
-func orderCost(ctx context.Context, out io.Writer, rounds int) error {
+func orderCost(ctx context.Context, out io.Writer, rounds int, loads []float64) error {
 	if program == "" {
 		return errors.New("fleet: --program: not set")
 	}
@@ -217,7 +219,7 @@
 		return err
 	}
 	for range rounds {
-		for _, load := range []float64{0.3, 0.8} {
+		for _, load := range loads {
 			for _, c := range []struct {
 				way   faults.Way
 				fault string
