Count a proxy as behind by the list that it holds, not by the one that it was told

Cause: the lab's new count took proxies that start with a known list for behind until discovery's first answer: 300 of 300 for most of fleet-start's 20 s, where their list is the latest from the first moment.

Change: the world notes which version a proxy knows from its start.

--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -332,7 +332,7 @@
 		"seed": fmt.Sprintf("%016x", sc.Seed*1000+uint64(n.id)),
 		"limits": map[string]any{"cores": sc.Proxies.Cores, "memory_mb": sc.Proxies.MemoryMB,
 			"sockets": sc.Proxies.Sockets},
-		"known": json.RawMessage(n.document(n.sim.world.Known())),
+		"known": json.RawMessage(n.document(n.sim.world.Known(n.id))),
 		"settings": map[string]any{"azs": sc.Zones, "models": models, "balancers": sc.Proxies.Count, "me": n.id,
 			"zone": sc.ProxyZone(n.id), "stage": 0, "tiers": []string{"album-web"}, "counted-by": "request",
 			"membership-mode": "on_request", "over-share-worth": sc.Prices.OverShare,
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -203,7 +203,7 @@
 	n.callers, n.hops = map[proxystate.LegID]*callerLeg{}, map[proxystate.LegID]*hopLeg{}
 	n.addresses, n.version, n.stopping, n.busy = map[lg.ServerID]int{}, 0, false, 0
 	n.ids = map[lg.RequestID]bool{}
-	list := n.list(s.world.Known())
+	list := n.list(s.world.Known(i))
 	list.Kind = lg.CachedList
 	n.post(proxystate.RoutesTold{List: list})
 	s.world.ProxyReady(i)
--- a/internal/world/discovery.go
+++ b/internal/world/discovery.go
@@ -298,6 +298,7 @@
 }
 
 // Known is the whole list as a proxy that starts now has it from before.
-func (w *World) Known() *Doc {
+func (w *World) Known(proxy int) *Doc {
+	w.proxies[proxy].holds = w.discovery.version
 	return &Doc{Version: w.discovery.version, Full: true, Entries: slices.Clone(w.discovery.list)}
 }
--- a/internal/world/judge.go
+++ b/internal/world/judge.go
@@ -78,7 +78,7 @@
 	for _, e := range d.Entries {
 		j.toldOf(p, e.Address, e.Name, e.State, e.Started)
 	}
-	p.told0 = d.Version
+	p.told0, p.holds = d.Version, d.Version
 	j.w.log(logTold, nil, uint64(proxy), d.Version)
 }
 
--- a/internal/world/result.go
+++ b/internal/world/result.go
@@ -157,7 +157,7 @@
 		}
 	}
 	for _, p := range w.proxies {
-		if p.up && p.told0 < w.discovery.version {
+		if p.up && p.holds < w.discovery.version {
 			s.Behind++
 		}
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -182,6 +182,7 @@
 	hops     []*Hop
 	told     map[int][]told // by address
 	told0    uint64         // version it was last told
+	holds    uint64         // version that it holds, told or known from its start
 	call     *Lookup        // out
 	lastCall time.Duration
 	failed   bool // the last call failed
