--- a/internal/workorder/workorder_test.go
+++ b/internal/workorder/workorder_test.go
@@ -176,3 +176,87 @@
 		}
 	}
 }
+
+// TestMeasuredRoom holds that a machine goes out only where the others can hold what is in work and a margin,
+// that one with a hot key goes last and not while it has it, and that what is not free is given back.
+func TestMeasuredRoom(t *testing.T) {
+	s := New()
+	v := View{Now: time.Minute, Listed: time.Minute, Machines: map[string]Seen{}, Busy: 12, Level: LevelResume,
+		Expired: func(string) bool { return false }}
+	for i := range 4 {
+		id := fmt.Sprint("m", i)
+		v.Machines[id] = Seen{Machine: Machine{ID: id, Zone: fmt.Sprint("z", i%2)}, Ready: true, Room: 8}
+	}
+	index := uint64(0)
+	apply := func(c Command) error {
+		index++
+		return s.Apply(index, c)
+	}
+	o, err := Spec{ID: "o", Machines: []string{"m0", "m1"}, Most: 1}.Resolve(v)
+	if err != nil || o.Margin != usualMargin {
+		t.Fatal(o, err)
+	}
+	for _, c := range []Command{{Kind: Raise, Index: LevelResume}, {Kind: Submit, Order: o}} {
+		if err := apply(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next := func(kind Kind, machine string) {
+		t.Helper()
+		if c := s.Next(v); c.Kind != kind || c.Machine != machine {
+			t.Fatalf("%v of %q is next, want %v of %q; m0 waits: %s", c.Kind, c.Machine, kind, machine,
+				s.Waits(s.Works[0], v))
+		} else if c.Kind != Nothing && apply(c) != nil {
+			t.Fatalf("%+v does not count", c)
+		}
+	}
+	v.Busy = 17 // 24 of room, 17 and half as much again: more
+	next(Nothing, "")
+	w := s.Works[0]
+	if why := s.Waits(w, v); !strings.Contains(why, "could hold 24 requests, 17 are in work") {
+		t.Errorf("it waits, since %s", why)
+	}
+	bad := &Fact{Left: 3, ZoneLeft: 1, Room: 24, Busy: 17}
+	if err := apply(Command{Kind: Name, Machine: "m0", Fact: bad}); err == nil {
+		t.Error("a leader can name a machine whose room is needed")
+	}
+	v.Busy = 12
+	m := v.Machines["m0"]
+	m.Hot = true
+	v.Machines["m0"] = m
+	next(Name, "m1")
+	x := &Party{Name: "x", Inc: 1, Knows: index} // it has not said that it is clear
+	s.Parties[x.Key()] = x
+	next(Grant, "m1")
+	v.Busy = 25 // more than the others hold: what is not free yet is given back
+	next(GiveBack, "m1")
+	v.Busy = 1
+	s.Works[1].Step = Done
+	next(Name, "m0")
+	x.Knows = index
+	if err := s.May(w, s.fact(w, v, false)); err == nil || !strings.Contains(err.Error(), "hot key") {
+		t.Errorf("a machine with a hot key may go out: %v", err)
+	}
+	m.Hot = false
+	v.Machines["m0"] = m
+	if err := s.May(w, s.fact(w, v, false)); err != nil {
+		t.Errorf("and it may not once that is over: %v", err)
+	}
+	s.Level = 0 // with an earlier program among the proxies nothing of this is said
+	v.Busy = 1000
+	if f := s.fact(w, v, false); f.Room != 0 || f.Busy != 0 || f.Hot {
+		t.Errorf("%+v is said to who doesn't understand it", f)
+	}
+}
+
+// TestMarginOfAnOrder guards against margins that can't be meant.
+func TestMarginOfAnOrder(t *testing.T) {
+	for _, margin := range []float64{-0.1, 11} {
+		o := order("o", 1, 1)
+		o.Margin = margin
+		err := New().Apply(1, Command{Kind: Submit, Order: o})
+		if err == nil || !strings.Contains(err.Error(), "margin") {
+			t.Errorf("margin %v: %v", margin, err)
+		}
+	}
+}
