--- a/internal/workplay/play_test.go
+++ b/internal/workplay/play_test.go
@@ -124,7 +124,7 @@
 		"cut":        {Seed: 3, Break: NoCut},
 		"lead wait":  {Seed: 25, Without: council.LeadWait},
 		"lease wait": {Seed: 30, Without: council.LeaseWait},
-		"grace wait": {Seed: 90, Without: council.GraceWait},
+		"grace wait": {Seed: 318, Without: council.GraceWait},
 		"note":       {Seed: 1, Break: ForgetNote, Kinds: again},
 	} {
 		t.Run(name, func(t *testing.T) {
