Say in log and figures how calls, answers, closes and the clock went

Change: calls to discovery are numbered and timed, their failures logged once a burst with how many more and once when over; an answer that can't be written though its client is there names its request and the error; closes of client connections and ends of attempts are counted by cause and result; a step of the wall clock is logged and counted; each document of the server list logs what it changed, by name, and lines of the module name the server. New figures in DUMP, the old ones unchanged. No decision depends on any of it.

--- a/api.go
+++ b/api.go
@@ -150,6 +150,12 @@
 	Moot
 )
 
+var resultNames = [...]string{OK: "ok", ServerError: "error", Full: "full", TimedOut: "late",
+	ConnectFailed: "noconn", Reset: "reset", Canceled: "canceled", Moot: "moot"}
+
+// String is the result's name in logs and figures.
+func (r Result) String() string { return resultNames[r] }
+
 // NeverRan reports whether r proves that the attempt never ran.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot }
 
--- a/balancer.go
+++ b/balancer.go
@@ -521,7 +521,7 @@
 			if s.wait, s.trialAt = s.wait/2, b.now; s.doubt < certain {
 				s.aside = false
 				b.resize(s, b.capacity(s))
-				b.logf("server %x is back", uint64(s.ID))
+				b.logServer(s, "is back")
 			}
 		}
 	case ServerError, TimedOut, ConnectFailed, Reset, Full:
@@ -561,7 +561,7 @@
 			if s.aside = true; b.parted() {
 				b.refresh = b.now // its part is made good with the next tick
 			}
-			b.logf("server %x is set aside: result %d, evidence %.1f", uint64(s.ID), ev.Result, s.doubt)
+			b.logServer(s, "is set aside: last result %s, evidence %.1f", ev.Result, s.doubt)
 			b.resize(s, 0)
 		}
 		s.trialAt = b.now + s.wait/2 + b.jitter(s.wait/2)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,6 +16,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	lg "lilacglade"
 	"lilacglade/internal/proxystate"
 )
 
@@ -204,5 +205,15 @@
 	line("skipped_album_servers", uint64(f.Skipped))
 	line("loads", f.Loads)
 	line("load_errors", f.LoadErrors)
+	for result, n := range f.Attempts {
+		line("attempts{result="+strconv.Quote(lg.Result(result).String())+"}", n)
+	}
+	for cause, n := range f.Closes {
+		line("client_closes{cause="+strconv.Quote(proxystate.CloseCause(cause).String())+"}", n)
+	}
+	line("discovery_calls{outcome=\"answered\"}", f.Sockets.CallsAnswered)
+	line("discovery_calls{outcome=\"failed\"}", f.Sockets.CallsFailed)
+	line("answers_unwritten", f.Sockets.Unwritten)
+	line("clock_steps", f.Sockets.ClockSteps)
 	return out
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -10,7 +10,8 @@
 // TestWireNames holds the names and forms that operators' tools read.
 func TestWireNames(t *testing.T) {
 	f := &proxystate.Figures{Ready: true, InProgress: 14, Tries: 5, Known: 12, Skipped: 2,
-		Loads: 3, LoadErrors: 1,
+		Loads: 3, LoadErrors: 1, Attempts: [8]uint64{811, 1}, Closes: [6]uint64{9, 8, 7, 6, 5, 4},
+		Sockets: proxystate.SocketFigures{CallsAnswered: 31, CallsFailed: 2, Unwritten: 1, ClockSteps: 3},
 		Handled: []proxystate.Handled{{Class: `a"b`, Passed: 812, Dropped: 7, BadGateway: 1}}}
 	want := `+OK
 node_handled{category="a\"b",outcome="passed"} 812
@@ -22,6 +23,24 @@
 node_skipped_album_servers 2
 node_loads 3
 node_load_errors 1
+node_attempts{result="ok"} 811
+node_attempts{result="error"} 1
+node_attempts{result="full"} 0
+node_attempts{result="late"} 0
+node_attempts{result="noconn"} 0
+node_attempts{result="reset"} 0
+node_attempts{result="canceled"} 0
+node_attempts{result="moot"} 0
+node_client_closes{cause="client"} 9
+node_client_closes{cause="unwritten"} 8
+node_client_closes{cause="last_answer"} 7
+node_client_closes{cause="idle"} 6
+node_client_closes{cause="room"} 5
+node_client_closes{cause="maintenance"} 4
+node_discovery_calls{outcome="answered"} 31
+node_discovery_calls{outcome="failed"} 2
+node_answers_unwritten 1
+node_clock_steps 3
 .
 `
 	if got := string(Answer("DUMP", f)); got != want {
--- a/internal/legs/flow.go
+++ b/internal/legs/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"sync"
@@ -145,11 +146,11 @@
 		if chunks && last {
 			bufs = append(bufs, http1.LastChunk)
 		}
-		if !to.send(bufs, time.Now().Add(stallFor)) {
+		if err := to.send(bufs, time.Now().Add(stallFor)); err != nil {
 			if !f.wanted(to, false) {
 				return errStopped
 			}
-			return errTaker
+			return fmt.Errorf("%w: %w", errTaker, err)
 		}
 		return nil
 	}
--- a/internal/legs/inbox.go
+++ b/internal/legs/inbox.go
@@ -65,7 +65,7 @@
 	}
 	written struct {
 		leg  *leg
-		ok   bool
+		err  error  // why it was not written whole; nil: it was
 		flow *flow  // that was passed on; nil: a whole message was written
 		rest []byte // what had come behind its body
 	}
@@ -77,6 +77,8 @@
 		from *watcher
 		raw  []byte
 		err  error
+		call uint64        // the number of the call that it answers
+		took time.Duration // from the call's beginning to its end
 	}
 	reloaded struct{ load Load }
 	stopping struct{}
--- a/internal/legs/leg.go
+++ b/internal/legs/leg.go
@@ -34,6 +34,7 @@
 	streaming      bool      // raw: its bytes are read for a flow
 	old            bool      // caller: what it asked last was HTTP/1.0
 	headAt         time.Time // caller: when the head of the request had come that is coming in, zero: it hasn't
+	asked          string    // caller: the id of the request that it asked last
 	flow           *flow     // hop: the upload that is on it
 
 	hup    atomic.Bool // the poller has ended the library's connection
@@ -152,9 +153,9 @@
 			j.pass()
 			continue
 		}
-		ok := g.send(j.bufs, j.by)
+		err := g.send(j.bufs, j.by)
 		if j.report {
-			g.inbox.post(written{leg: g, ok: ok})
+			g.inbox.post(written{leg: g, err: err})
 		}
 	}
 }
--- /dev/null
+++ b/internal/legs/observe.go
@@ -0,0 +1,133 @@
+package legs
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	lg "lilacglade"
+	"lilacglade/internal/logburst"
+	"lilacglade/internal/proxystate"
+	"lilacglade/internal/wallclock"
+)
+
+// Times of what is observed for operators.
+const (
+	clockEvery  = 100 * time.Millisecond // the clocks are compared at most so often
+	faultsEvery = time.Second            // faults of one kind are logged at most so often
+)
+
+// observer is what the sockets tell operators about: the log's lines and the figures that the reducer can't
+// count. The reducer's goroutine owns it.
+type observer struct {
+	figures   proxystate.SocketFigures
+	clock     wallclock.Monitor
+	clockDue  time.Duration
+	unwritten logburst.Limiter
+	calls     logburst.Limiter
+	lastFault string // of the last call to discovery; empty: it was answered
+}
+
+func newObserver() observer {
+	return observer{unwritten: logburst.Limiter{Every: faultsEvery}, calls: logburst.Limiter{Every: faultsEvery}}
+}
+
+// lookAtClock logs a step of the wall clock. Nothing depends on it.
+func (o *observer) lookAtClock(t time.Time, now time.Duration) {
+	if now < o.clockDue {
+		return
+	}
+	o.clockDue = now + clockEvery
+	if step := o.clock.Observe(time.Duration(t.UnixNano()), now); step != 0 {
+		o.figures.ClockSteps = o.clock.Steps()
+		log.Printf("the wall clock was stepped by %v", step.Round(time.Millisecond))
+	}
+}
+
+// called takes in the end of a call to discovery. A fault is logged when it begins, when it changes, and once
+// a burst for as long as it lasts.
+func (o *observer) called(d document, err error, now time.Duration) {
+	if err == nil {
+		o.figures.CallsAnswered++
+		if o.lastFault != "" {
+			log.Printf("discovery: call %d to %s was answered after %v", d.call, d.from.address, rounded(d.took))
+		}
+		o.lastFault = ""
+		return
+	}
+	o.figures.CallsFailed++
+	changed := err.Error() != o.lastFault
+	o.lastFault = err.Error()
+	if more, ok := o.calls.Allow(now); ok || changed {
+		log.Printf("discovery: call %d to %s failed after %v: %v (%d more since the last line)", d.call,
+			d.from.address, rounded(d.took), err, more)
+	}
+}
+
+// unanswered takes in that an answer could not be written. That its client has left is nothing to tell.
+func (o *observer) unanswered(g *leg, err error, now time.Duration) {
+	if err == nil || clientLeft(err) {
+		return
+	}
+	o.figures.Unwritten++
+	if more, ok := o.unwritten.Allow(now); ok {
+		log.Printf("the answer to request %q was not written and its connection is closed: %v (%d more since "+
+			"the last line)", g.asked, err, more)
+	}
+}
+
+// clientLeft tells whether an answer was not written because the other side has gone.
+func clientLeft(err error) bool {
+	for _, left := range []error{net.ErrClosed, io.EOF, netpoll.ErrConnClosed, netpoll.ErrEOF, syscall.EPIPE,
+		syscall.ECONNRESET, errStopped} {
+		if errors.Is(err, left) {
+			return true
+		}
+	}
+	return false
+}
+
+// rounded is a duration as a log line has it.
+func rounded(d time.Duration) time.Duration { return d.Round(10 * time.Microsecond) }
+
+// mostNamed bounds the servers that one line of the log names.
+const mostNamed = 12
+
+// stateNames are what the log calls a server's states.
+var stateNames = [...]string{lg.Ready: "ready", lg.Draining: "draining", lg.Gone: "gone"}
+
+// logChanges logs what the server list that came last has changed.
+func (p *proxy) logChanges() {
+	changes := p.servers.Changes()
+	if len(changes) == 0 {
+		return
+	}
+	var line strings.Builder
+	for _, c := range changes[:min(len(changes), mostNamed)] {
+		state := stateNames[c.State]
+		if c.Restarted {
+			state = "restarted"
+		}
+		fmt.Fprintf(&line, ", %s %s", c.Name, state)
+	}
+	if more := len(changes) - mostNamed; more > 0 {
+		fmt.Fprintf(&line, ", %d more", more)
+	}
+	log.Printf("server list: version %d%s", p.servers.Version(), &line)
+}
+
+// logServer logs a line, with the name of the server that it is about.
+func (p *proxy) logServer(e proxystate.Effect) {
+	if name := p.servers.Name(e.Server); e.Server != 0 && name != "" {
+		log.Printf("%s (%s)", e.Text, name)
+		return
+	}
+	log.Print(e.Text)
+}
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -76,7 +76,7 @@
 	done     bool
 	peers    *peers.Node // nil: it talks to no other proxy
 	loads    loads
-	fault    string // of the last call to discovery
+	observed observer
 }
 
 // budget gives callers and next hops their parts of the descriptors.
@@ -108,7 +108,8 @@
 // ServeBy runs the proxy with options.
 func ServeBy(ctx context.Context, node settings.Node, reloads <-chan Load, o Options) error {
 	p := &proxy{set: node.Settings, start: time.Now(), inbox: newInbox(),
-		callers: map[proxystate.LegID]*leg{}, hops: map[proxystate.LegID]*leg{}, timer: time.NewTimer(0)}
+		callers: map[proxystate.LegID]*leg{}, hops: map[proxystate.LegID]*leg{}, timer: time.NewTimer(0),
+		observed: newObserver()}
 	p.servers = serverlist.New(p.set.ZoneNames, p.set.KindNames, p.start.Add(-longAgo))
 	callers, hops := budget(node.Limits)
 	var err error
@@ -281,12 +282,13 @@
 			return
 		}
 		if !g.caller {
-			p.step(proxystate.HopWritten{Leg: g.id, OK: item.ok})
+			p.step(proxystate.HopWritten{Leg: g.id, OK: item.err == nil})
 			return
 		}
 		g.busy = false
 		g.asking.Store(false)
-		p.step(proxystate.CallerWritten{Leg: g.id, OK: item.ok})
+		p.observed.unanswered(g, item.err, p.now())
+		p.step(proxystate.CallerWritten{Leg: g.id, OK: item.err == nil})
 		p.read(g, false)
 	case dialed:
 		g := item.leg
@@ -403,7 +405,11 @@
 // asked words a request's event. Guards against refusing what was on its way when its class was dropped.
 func (p *proxy) asked(g *leg, m *http1.Message) proxystate.Event {
 	read := p.at(g.read)
-	return asked(&p.set, read < p.stale, g.id, m, read)
+	ev := asked(&p.set, read < p.stale, g.id, m, read)
+	if ask, ok := ev.(proxystate.CallerAsked); ok {
+		g.asked = ask.Name
+	}
+	return ev
 }
 
 // upload begins to pass on a request whose body is large.
@@ -436,11 +442,12 @@
 
 // passedOn takes in that a flow has ended, at a leg that got it.
 func (p *proxy) passedOn(w written) {
-	to, f, ok, rest := w.leg, w.flow, w.ok, w.rest
+	to, f, ok, rest := w.leg, w.flow, w.err == nil, w.rest
 	from := f.from
 	if to.caller {
 		to.busy, from.streaming = false, false
 		to.asking.Store(false)
+		p.observed.unanswered(to, w.err, p.now())
 		keep := ok && len(rest) == 0 && !f.m.Close
 		p.step(proxystate.CallerWritten{Leg: to.id, OK: ok, Keep: keep})
 		p.read(to, false)
@@ -478,7 +485,7 @@
 		default:
 			p.inbox.post(broken{f.from, true})
 		}
-		p.inbox.post(written{leg: to, ok: err == nil, flow: f, rest: rest})
+		p.inbox.post(written{leg: to, err: err, flow: f, rest: rest})
 	}}
 }
 
@@ -590,6 +597,7 @@
 		return
 	}
 	if list, ok := p.servers.ApplyLate(d.raw); ok {
+		p.logChanges()
 		p.step(proxystate.ListTold{List: list, Late: true})
 		p.inventory()
 	}
@@ -603,14 +611,10 @@
 			list = told
 		}
 	}
-	fault := ""
-	if err != nil {
-		fault = err.Error()
-	}
-	if fault != "" && fault != p.fault { // guards against a line for each call while discovery is down
-		log.Printf("discovery: %v", err)
+	p.observed.called(d, err, p.now())
+	if err == nil {
+		p.logChanges()
 	}
-	p.fault = fault
 	p.step(proxystate.ListTold{List: list, Whole: !p.servers.Watches()})
 	if err == nil {
 		p.inventory()
@@ -619,7 +623,10 @@
 
 // step hands the reducer an event and carries out what it asks for.
 func (p *proxy) step(ev proxystate.Event) {
-	for _, e := range p.state.Step(p.now(), ev) {
+	t := time.Now()
+	now := p.at(t)
+	p.observed.lookAtClock(t, now)
+	for _, e := range p.state.Step(now, ev) {
 		p.carryOut(e)
 	}
 }
@@ -703,12 +710,14 @@
 		}
 		p.watcher.ask(call{p.servers.Query(p.now(), e.At), p.wall(e.At + answerWithin)})
 	case proxystate.Publish:
-		p.published(e.Payload.(*proxystate.Figures))
+		figures := e.Payload.(*proxystate.Figures)
+		figures.Sockets = p.observed.figures
+		p.published(figures)
 	case proxystate.Stop:
 		stopped := e.Payload.(proxystate.Stopped)
 		p.peers.Stopped(stopped.Index, stopped.Clear, stopped.Own)
 	case proxystate.Log:
-		log.Print(e.Text)
+		p.logServer(e)
 	case proxystate.TellCallers:
 		go p.listener.settle(func() { p.inbox.post(allTold{}) })
 	case proxystate.Finish:
--- a/internal/legs/raw.go
+++ b/internal/legs/raw.go
@@ -272,7 +272,7 @@
 }
 
 // send writes the slices in order. It waits until they are written, the time has come, or the leg is gone.
-func (g *leg) send(bufs [][]byte, by time.Time) bool {
+func (g *leg) send(bufs [][]byte, by time.Time) error {
 	g.mu.Lock()
 	if g.leaving && !g.gone { // being detached
 		g.mu.Unlock()
@@ -281,21 +281,33 @@
 	}
 	if raw := g.raw; raw != nil {
 		g.mu.Unlock()
-		if raw.SetWriteDeadline(by) != nil {
-			return false
+		if err := raw.SetWriteDeadline(by); err != nil {
+			return err
 		}
 		all := net.Buffers(append([][]byte(nil), bufs...))
 		_, err := all.WriteTo(raw)
-		return err == nil
+		return err
+	}
+	err := g.fill(bufs)
+	g.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := g.conn.SetWriteDeadline(by); err != nil {
+		return err
+	}
+	return g.conn.Writer().Flush()
+}
+
+// fill puts the slices into the library's buffer. The caller holds g.mu.
+func (g *leg) fill(bufs [][]byte) error {
+	if g.gone || !g.conn.IsActive() {
+		return net.ErrClosed
 	}
-	ok := !g.gone && g.conn.IsActive()
 	for _, b := range bufs {
-		if !ok {
-			break
+		if _, err := g.conn.Writer().WriteBinary(b); err != nil {
+			return err
 		}
-		_, err := g.conn.Writer().WriteBinary(b)
-		ok = err == nil
 	}
-	g.mu.Unlock()
-	return ok && g.conn.SetWriteDeadline(by) == nil && g.conn.Writer().Flush() == nil
+	return nil
 }
--- a/internal/legs/watcher.go
+++ b/internal/legs/watcher.go
@@ -27,6 +27,7 @@
 	inbox   *inbox
 	calls   chan call
 	conn    netpoll.Connection // opened and closed by run alone
+	number  uint64             // of the last call that it made
 
 	mu      sync.Mutex
 	stopped bool
@@ -63,11 +64,13 @@
 
 func (w *watcher) run() {
 	for c := range w.calls {
+		w.number++
+		began := time.Now()
 		raw, err := w.do(c)
 		if err != nil {
 			w.hold(nil)
 		}
-		w.inbox.post(document{w, raw, err})
+		w.inbox.post(document{from: w, raw: raw, err: err, call: w.number, took: time.Since(began)})
 	}
 	w.hold(nil)
 }
--- a/internal/legs/work.go
+++ b/internal/legs/work.go
@@ -1,6 +1,7 @@
 package legs
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -32,6 +33,9 @@
 	return err
 }
 
+// errBeginsLate says that an attempt was not begun since its time was over.
+var errBeginsLate = errors.New("too late to begin")
+
 // late is asked just before a request is written, nil where its time does not matter. Guards against a
 // process that was paused there: the machine may be out by now, so nothing is written, and said is posted.
 func (p *proxy) late(e proxystate.Effect, said written) func() bool {
@@ -42,6 +46,7 @@
 		if p.now() < e.Begin {
 			return false
 		}
+		said.err = errBeginsLate
 		p.inbox.post(said)
 		return true
 	}
--- a/internal/legs/work_test.go
+++ b/internal/legs/work_test.go
@@ -20,7 +20,7 @@
 	g := &leg{inbox: p.inbox}
 	g.write(job{bufs: [][]byte{[]byte("x")}, late: p.late(proxystate.Effect{Begin: p.now()}, written{leg: g})})
 	<-p.inbox.wake
-	if items := p.inbox.take(nil); len(items) != 1 || items[0].(written).ok {
+	if items := p.inbox.take(nil); len(items) != 1 || items[0].(written).err == nil {
 		t.Errorf("got %+v", items)
 	}
 }
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -44,10 +44,11 @@
 func (s *State) miss(c *caller) {
 	switch c.phase {
 	case callerParting:
-		s.closeCaller(c)
+		s.closeCaller(c, ClosedForRoom)
 	case callerReading:
 		s.reply(c.id, Effect{Verdict: TooSlow, Last: true})
 	default:
+		c.wanted = true
 		s.ease(c)
 	}
 }
@@ -218,29 +219,31 @@
 	}
 	switch {
 	case !ev.OK:
-		s.closeCaller(c)
+		s.closeCaller(c, ClosedUnwritten)
 	case c.last:
 		// Guards against a reset that overtakes the answer: the leg is closed when the caller
 		// has closed it, or a while later.
-		s.part(c)
+		s.part(c, ClosedLastAnswer)
 	default:
 		s.phase(c, callerIdle)
 	}
 }
 
 // part ends sending on a leg.
-func (s *State) part(c *caller) {
+func (s *State) part(c *caller, cause CloseCause) {
+	s.countClose(c, cause)
 	s.phase(c, callerParting)
 	s.parting++
 	s.do(Effect{Do: PartCaller, Leg: c.id})
 	s.clock.add(s.now+partWithin, func() {
 		if s.callers[c.id] == c {
-			s.closeCaller(c)
+			s.closeCaller(c, cause)
 		}
 	})
 }
 
-func (s *State) closeCaller(c *caller) {
+func (s *State) closeCaller(c *caller, cause CloseCause) {
+	s.countClose(c, cause)
 	s.do(Effect{Do: CloseCaller, Leg: c.id})
 	s.callerClosed(c.id)
 }
@@ -251,6 +254,7 @@
 	if c == nil {
 		return
 	}
+	s.countClose(c, ClosedByClient)
 	delete(s.callers, id)
 	if c.phase == callerParting {
 		s.parting--
--- a/internal/proxystate/figures.go
+++ b/internal/proxystate/figures.go
@@ -18,10 +18,23 @@
 	Tries             uint64
 	Known, Skipped    int // next hops in the server list, and those of them that get nothing new now
 	Loads, LoadErrors uint64
+	Attempts          [attemptResults]uint64 // that ended, by lg.Result
+	Closes            [closeCauses]uint64    // of client connections, by CloseCause
+	Sockets           SocketFigures
 	Rooms             []lg.Room     // what was measured of the next hops; nil where proxies settle nothing
 	Hot               []lg.ServerID // next hops where a hot key is sent to
 }
 
+// attemptResults is the number of results that an attempt may have.
+const attemptResults = lg.Moot + 1
+
+// SocketFigures are counted by the sockets, which the reducer does not know.
+type SocketFigures struct {
+	CallsAnswered, CallsFailed uint64 // calls to discovery
+	Unwritten                  uint64 // answers that could not be written though their client was there
+	ClockSteps                 uint64 // of the wall clock
+}
+
 // Handled counts the requests of one class that have ended.
 type Handled struct {
 	Class                       string
@@ -41,6 +54,8 @@
 	handled   []*Handled
 	classes   []*Handled // of these, the one of each class of the settings
 	tries     uint64
+	attempts  [attemptResults]uint64
+	closes    [closeCauses]uint64
 	loads     uint64
 	loadFails uint64
 	ready     bool // as last published
@@ -102,7 +117,8 @@
 	s.counts.due, s.counts.ready = false, s.ready()
 	known, draining := s.pool.Listed()
 	f := &Figures{Ready: s.counts.ready, InProgress: s.counts.open, Tries: s.counts.tries, Known: known,
-		Skipped: draining, Loads: s.counts.loads, LoadErrors: s.counts.loadFails}
+		Skipped: draining, Loads: s.counts.loads, LoadErrors: s.counts.loadFails,
+		Attempts: s.counts.attempts, Closes: s.counts.closes}
 	if m, ok := s.bal.(interface{ Skipped() int }); ok {
 		f.Skipped += m.Skipped()
 	}
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -159,9 +159,11 @@
 	}
 	if s.cfg.Trace != nil {
 		said := load // guards against the report's moving to the heap where nothing is traced
-		s.trace("E %d.%d %x %s %d load %v", r.id, b.number, uint64(b.hop.ID), results[res],
+		s.trace("E %d.%d %x %s %d load %v", r.id, b.number, uint64(b.hop.ID), res,
 			(s.now - b.sent).Milliseconds(), said.Values[:said.N])
 	}
+	s.counts.attempts[res]++
+	s.changed()
 	since := b.sent
 	if r.stream { // an attempt begins with a request's last byte
 		since = max(since, r.whole)
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -96,9 +96,11 @@
 	feed  *hopLeg       // answering: where the answer streams from
 	asked bool          // it has brought something whole
 	eased bool          // it is to be let go if nothing has come on it
-	req   *request
-	last  bool // to be closed after the answer
-	over  bool // beyond the cap
+	// wanted: its descriptor is, by others. counted: its end was counted
+	wanted, counted bool
+	req             *request
+	last            bool // to be closed after the answer
+	over            bool // beyond the cap
 }
 
 // request is a request that is not answered, or whose branch is still out.
@@ -250,7 +252,7 @@
 	case lg.Subscribe:
 		s.watch()
 	case lg.Log:
-		s.do(Effect{Do: Log, Text: a.Text})
+		s.do(Effect{Do: Log, Text: a.Text, Server: a.Server})
 	}
 }
 
@@ -305,6 +307,7 @@
 	case HopClosed:
 		s.hopClosed(ev.Leg)
 	case ListTold:
+		s.changed()
 		if !ev.Late {
 			s.list.mayWait = !ev.Whole
 		}
@@ -460,7 +463,11 @@
 // quiet ends sending on a leg that is to be let go.
 func (s *State) quiet(id LegID) {
 	if c := s.callers[id]; c != nil && c.phase == callerIdle && c.eased {
-		s.part(c)
+		cause := ClosedIdle
+		if c.wanted {
+			cause = ClosedForRoom
+		}
+		s.part(c, cause)
 	}
 }
 
--- a/internal/proxystate/trace.go
+++ b/internal/proxystate/trace.go
@@ -10,12 +10,10 @@
 // Tracer takes one line for each step of a request, of a hop leg and of the server list. Lines begin with
 // a letter: A request taken, S branch to a next hop, G leg given (with its rest), E branch ended,
 // F final answer, O leg opened, D how that went, C leg closed, W discovery asked, L what it told, I a
-// line of that. Whoever counts what a whole fleet does to one next hop reads these; nil costs one check.
+// line of that, X a client's connection ended. Whoever counts what a whole fleet
+// does to one next hop reads these; nil costs one check.
 type Tracer func(line string)
 
-var results = [...]string{lg.OK: "ok", lg.ServerError: "error", lg.TimedOut: "late",
-	lg.ConnectFailed: "noconn", lg.Reset: "reset", lg.Full: "full", lg.Moot: "moot"}
-
 var verdicts = [...]string{Served: "served", Busy: "busy", Broken: "broken", Late: "late", Faulty: "faulty",
 	Taken: "taken", ReadyNow: "ready", NotReady: "notready", TooSlow: "slow"}
 
--- a/internal/proxystate/work.go
+++ b/internal/proxystate/work.go
@@ -155,7 +155,7 @@
 				continue
 			}
 			if c := s.fedBy(l); c != nil {
-				s.closeCaller(c) // its answer breaks off, for all to see
+				s.closeCaller(c, ClosedForWork) // its answer breaks off, for all to see
 				continue
 			}
 			if l.branch != nil {
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -27,6 +27,7 @@
 	epoch        time.Time // when the proxy's clock read 0
 	addrs        map[lg.ServerID]string
 	told         map[lg.ServerID]instance // as told last, for Document
+	changed      []Change                 // by the last document that was taken in
 }
 
 // New returns an empty Set. The names give zones and kinds their numbers; epoch is the
@@ -99,6 +100,7 @@
 }
 
 func (s *Set) learn(list lg.List, version uint64, instances []instance) {
+	s.changed = s.differences(list, instances)
 	if list.Kind == lg.FullList {
 		clear(s.addrs)
 		clear(s.told)
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -124,3 +125,33 @@
 		}
 	}
 }
+
+// TestChanges holds what operators are told of each document.
+func TestChanges(t *testing.T) {
+	s := New(nil, nil, time.Unix(0, 0))
+	entry := func(id, state string, started int) string {
+		return fmt.Sprintf(`{"instanceId":%q,"hostPort":"127.0.0.1:1","lifecycle":%q,"startedAtMs":%d}`, id, state,
+			started)
+	}
+	for i, step := range []struct {
+		reset   bool
+		entries []string
+		want    string
+	}{
+		{true, []string{entry("b", "ready", 0), entry("a", "ready", 0)}, "[{a 0 false} {b 0 false}]"},
+		{true, []string{entry("b", "ready", 0), entry("a", "ready", 0)}, "[]"},
+		{false, []string{entry("a", "draining", 0), entry("z", "gone", 0)}, "[{a 1 false}]"},
+		{false, []string{entry("b", "ready", 7)}, "[{b 0 true}]"},
+		{true, []string{entry("b", "ready", 7)}, "[{a 2 false}]"},
+		{false, []string{entry("b", "gone", 7)}, "[{b 2 false}]"},
+	} {
+		raw := fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, i, step.reset,
+			strings.Join(step.entries, ","))
+		if _, err := s.Apply([]byte(raw)); err != nil {
+			t.Fatal(err)
+		}
+		if got := fmt.Sprint(s.Changes()); got != step.want {
+			t.Errorf("document %d: %s, want %s", i, got, step.want)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -162,6 +162,15 @@
 // logAfter is how many refusals between two refreshes an operator should hear of.
 const logAfter = 10
 
+// logServer logs a line about one server, whose name whoever prints it may know.
+func (b *Balancer) logServer(s *server, format string, args ...any) {
+	before := len(b.acts)
+	b.logf("server %x %s", uint64(s.ID), fmt.Sprintf(format, args...))
+	for i := range b.acts[before:] {
+		b.acts[before+i].Server = s.ID
+	}
+}
+
 func (b *Balancer) logf(format string, args ...any) {
 	if b.logged++; b.logged <= logLines {
 		b.acts = append(b.acts, Action{Do: Log, Text: fmt.Sprintf(format, args...)})
