Reproduce the incident on real processes with a stepped wall clock, as a known red test

Compared: ptrace (stops every thread, slow), a time namespace (has no wall clock), a seam in the program (would not be the released binary).

Seen: TestWallClockStepped fails for steps of +1 h and +20 s, on both rules of the report: drains missed from the step on (each call to discovery ends after 0.1 to 0.2 ms with 'connection read timeout') and answers cut off (each that does not leave in one write, 'connection write timeout'), 227 violations in the 1 h run. Steps back by 4 s and 1 h break nothing. Processes beside it with a right clock break nothing.

--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,446 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// What the rules allow, from the protocol's pages.
+const (
+	lateAnswer   = 500 * time.Millisecond // an answer may be so late; later, or never, its request is lost
+	leftSlack    = 100 * time.Millisecond // an attempt may begin so long after its client left
+	timeoutSlack = 150 * time.Millisecond // a server may be told so much more than is left to the client
+	newsWithin   = 6 * time.Second        // what discovery has counts as told by then, once it can be reached
+	measureSlack = 60 * time.Millisecond  // what this harness sees may be so late on an idle machine
+)
+
+// Violation is a broken rule.
+type Violation struct {
+	At   time.Duration // since the judge began
+	Rule string
+	What string
+}
+
+func (v Violation) String() string { return fmt.Sprintf("%.3f %s: %s", v.At.Seconds(), v.Rule, v.What) }
+
+// request is one request as its client saw it. The judge owns what is below the line.
+type request struct {
+	id, proxy string
+	class     class
+	timeout   time.Duration
+
+	sends    []time.Time // last bytes; more than one where it was sent once more
+	leftAt   time.Time
+	resentAt time.Time
+	doneAt   time.Time
+	status   int
+	body     string
+	fault    error // why it got no whole answer
+	excused  bool
+	attempts []*attempt
+}
+
+// attempt is one attempt as a server saw it.
+type attempt struct {
+	server, zone string
+	first, whole time.Time // of its bytes; whole is zero where it never was
+	told         time.Duration
+	endedAt      time.Time // answered, or given up by the proxy
+	body         string    // of its answer, as far as one was made
+	notStarted   bool
+	cut          bool // its answer has no length and broke off
+}
+
+// mayHaveRun tells whether the attempt counts as one that ran.
+func (a *attempt) mayHaveRun() bool { return !a.whole.IsZero() && !a.notStarted }
+
+// listing is what a document says, or discovery has, from a moment on.
+type listing struct {
+	at     time.Time
+	states map[string]string
+}
+
+// Judge holds what was seen, and finds the rules that were broken. Its methods may be called from any
+// goroutine.
+type Judge struct {
+	began  time.Time
+	stalls *stalls
+
+	mu         sync.Mutex
+	requests   map[string]*request
+	order      []*request
+	documents  map[string][]listing // that each process was told, since it started
+	starts     map[string]time.Time
+	lists      []listing // that discovery has had
+	reach      []reach
+	unmets     int
+	unread     int
+	violations []Violation
+}
+
+// reach says that discovery could be reached, or could not, from a moment on.
+type reach struct {
+	at   time.Time
+	well bool
+}
+
+func newJudge(s *stalls) *Judge {
+	return &Judge{began: time.Now(), stalls: s, requests: map[string]*request{},
+		documents: map[string][]listing{}, starts: map[string]time.Time{}}
+}
+
+// violation notes a broken rule that somebody else found.
+func (j *Judge) violation(rule, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.broken(time.Now(), rule, format, args...)
+}
+
+func (j *Judge) broken(at time.Time, rule, format string, args ...any) {
+	j.violations = append(j.violations, Violation{at.Sub(j.began), rule, fmt.Sprintf(format, args...)})
+}
+
+// slack is how much later than it was something may have been seen, of what happened between two moments.
+func (j *Judge) slack(from, to time.Time) time.Duration {
+	return measureSlack + j.stalls.during(from.Add(-measureSlack), to.Add(measureSlack))
+}
+
+// What clients see.
+
+func (j *Judge) sent(r *request, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(r.sends) == 0 {
+		if seen := j.requests[r.id]; seen != nil { // by a server, before it was noted here
+			r.attempts = seen.attempts
+		}
+		j.requests[r.id] = r
+		j.order = append(j.order, r)
+	}
+	r.sends = append(r.sends, at)
+}
+
+func (j *Judge) left(r *request, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r.doneAt.IsZero() && r.fault == nil && r.leftAt.IsZero() {
+		r.leftAt = at
+	}
+}
+
+func (j *Judge) hasLeft(r *request) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !r.leftAt.IsZero()
+}
+
+func (j *Judge) resent(r *request, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.unread++
+	r.resentAt = at
+}
+
+func (j *Judge) unsent(r *request, p *Process, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.unmets++
+}
+
+func (j *Judge) unmet() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.unmets++
+}
+
+func (j *Judge) unanswered(r *request, p *Process, at time.Time, err error) {
+	killed := p.killedSince(r.firstSend())
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.doneAt, r.fault, r.excused = at, err, killed
+}
+
+func (j *Judge) done(r *request, at time.Time, status int, body string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.doneAt, r.status, r.body = at, status, body
+}
+
+func (r *request) firstSend() time.Time { return r.sends[0] }
+
+// What servers see.
+
+func (j *Judge) seen(id string, a *attempt) {
+	r := j.requests[id]
+	if r == nil {
+		// Its last byte may be on its way here before its client has noted that it was sent.
+		r = &request{id: id}
+		j.requests[id] = r
+	}
+	r.attempts = append(r.attempts, a)
+}
+
+// partial notes an attempt that never came whole.
+func (j *Judge) partial(id string, s *Server, first time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.seen(id, &attempt{server: s.ID, zone: s.Zone, first: first, endedAt: first})
+}
+
+func (j *Judge) arrived(id string, s *Server, first, whole time.Time, told time.Duration) *attempt {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := &attempt{server: s.ID, zone: s.Zone, first: first, whole: whole, told: told}
+	j.seen(id, a)
+	return a
+}
+
+func (j *Judge) ended(a *attempt, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if a.endedAt.IsZero() {
+		a.endedAt = at
+	}
+}
+
+func (j *Judge) answered(a *attempt, body string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a.body = body
+}
+
+// cut notes that an answer without a length is broken off.
+func (j *Judge) cut(a *attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a.cut = true
+}
+
+func (j *Judge) notStarted(a *attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a.notStarted = true
+}
+
+// What discovery sees.
+
+func (j *Judge) told(proxy string, states map[string]string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.documents[proxy] = append(j.documents[proxy], listing{at, states})
+}
+
+func (j *Judge) listed(states map[string]string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lists = append(j.lists, listing{at, states})
+}
+
+func (j *Judge) reachable(well bool, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.reach = append(j.reach, reach{at, well})
+}
+
+// restarted notes that a process starts anew, or is told to ask elsewhere: what it was told before counts for
+// nothing, and it has the same time as any other to hear of what there is.
+func (j *Judge) restarted(proxy string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts[proxy] = at
+	j.documents[proxy] = nil
+}
+
+// The rules.
+
+// report judges what was seen, once all is over.
+func (j *Judge) report(out *Report) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for id, r := range j.requests {
+		if r.proxy == "" {
+			a := r.attempts[0]
+			j.broken(a.first, "protocol", "%s got %q, which no client sent whole", a.server, id)
+		}
+	}
+	for _, r := range j.order {
+		j.count(r, out)
+		j.judgeAnswer(r)
+		j.judgeAttempts(r)
+		j.judgeRepeats(r)
+	}
+	out.Unmet, out.Unread = j.unmets, j.unread
+	slices.SortFunc(j.violations, func(a, b Violation) int { return int(a.At - b.At) })
+	out.Violations = slices.Clone(j.violations)
+}
+
+func (j *Judge) count(r *request, out *Report) {
+	out.Asked++
+	out.Attempts += len(r.attempts)
+	switch {
+	case !r.leftAt.IsZero():
+		out.Left++
+	case r.excused:
+		out.Excused++
+	case r.status == 200:
+		out.Served++
+	case r.status == 429 || r.status == 503:
+		out.Refused++
+	default:
+		out.Failed++
+	}
+}
+
+// judgeAnswer holds a request to its one final answer, whole, in time, and true.
+func (j *Judge) judgeAnswer(r *request) {
+	sent := r.sends[len(r.sends)-1]
+	if !r.resentAt.IsZero() {
+		for _, a := range r.attempts {
+			if a.first.Before(r.resentAt.Add(-measureSlack)) {
+				j.broken(r.resentAt, "lost", "%s was read, and its resting connection closed with no answer", r.name())
+				break
+			}
+		}
+	}
+	if !r.leftAt.IsZero() {
+		return
+	}
+	switch took := r.doneAt.Sub(sent); {
+	case r.doneAt.IsZero():
+		j.broken(sent, "lost", "%s has no end", r.name())
+	case r.fault != nil && (r.excused || r.brokenByServer()):
+	case r.fault != nil:
+		j.broken(r.doneAt, "lost", "%s got no whole answer after %v: %v%s", r.name(), took, r.fault, r.tries())
+	case took > r.timeout+lateAnswer+j.slack(sent, r.doneAt):
+		j.broken(r.doneAt, "lost", "%s was answered %v late%s", r.name(), took-r.timeout, r.tries())
+	case r.status == 200 && !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.body == r.body }):
+		j.broken(r.doneAt, "lost", "%s was answered with what no server made for it%s", r.name(), r.tries())
+	case (r.status == 429 || r.status == 503) && r.class.semantics != "safe" && r.mayHaveRun():
+		j.broken(r.doneAt, "refusal", "%s was refused and may have run%s", r.name(), r.tries())
+	}
+}
+
+func (r *request) name() string {
+	return fmt.Sprintf("%s (%s, at %s)", r.id, r.class.semantics, r.proxy)
+}
+
+func (r *request) mayHaveRun() bool { return slices.ContainsFunc(r.attempts, (*attempt).mayHaveRun) }
+
+// brokenByServer tells whether an answer was cut off by its server while it may have been passed on.
+func (r *request) brokenByServer() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.cut })
+}
+
+// tries words the attempts, for a violation's text.
+func (r *request) tries() string {
+	var b strings.Builder
+	for _, a := range r.attempts {
+		fmt.Fprintf(&b, " | %s +%v", a.server, a.first.Sub(r.firstSend()).Round(time.Millisecond))
+		switch {
+		case a.whole.IsZero():
+			b.WriteString(" not whole")
+		case a.notStarted:
+			b.WriteString(" not started")
+		}
+		if !a.endedAt.IsZero() {
+			fmt.Fprintf(&b, " ended +%v", a.endedAt.Sub(r.firstSend()).Round(time.Millisecond))
+		}
+	}
+	return b.String()
+}
+
+// judgeAttempts holds each attempt to the rules on its beginning.
+func (j *Judge) judgeAttempts(r *request) {
+	for _, a := range r.attempts {
+		sent := r.firstSend()
+		for _, s := range r.sends {
+			if !s.After(a.first) {
+				sent = s
+			}
+		}
+		slack := j.slack(sent, a.first)
+		if left := r.timeout - a.first.Sub(sent); !a.whole.IsZero() && a.told > left+timeoutSlack+slack {
+			j.broken(a.first, "deadline", "%s was told %v for %s, which has %v left", a.server, a.told, r.name(), left)
+		}
+		if !r.leftAt.IsZero() && a.first.After(r.leftAt.Add(leftSlack+slack)) {
+			j.broken(a.first, "lost", "%s went to %s %v after its client left", r.name(), a.server, a.first.Sub(r.leftAt))
+		}
+		if !r.doneAt.IsZero() && a.first.After(r.doneAt.Add(slack)) {
+			j.broken(a.first, "lost", "%s went to %s %v after its end", r.name(), a.server, a.first.Sub(r.doneAt))
+		}
+		j.judgeDrain(r, a, slack)
+	}
+}
+
+// judgeDrain holds an attempt to what its process was told, or counts as told, of the server.
+func (j *Judge) judgeDrain(r *request, a *attempt, slack time.Duration) {
+	grace := drainGrace + slack
+	if at, off := offSince(j.documents[r.proxy], a.server, a.first); off && a.first.Sub(at) > grace {
+		j.broken(a.first, "drain", "%s went to %s %v after its process was told%s", r.name(), a.server,
+			a.first.Sub(at), r.tries())
+		return
+	}
+	at, off := offSince(j.lists, a.server, a.first)
+	if !off {
+		return
+	}
+	known := at
+	if start := j.starts[r.proxy]; start.After(known) {
+		known = start
+	}
+	well := true
+	for _, change := range j.reach {
+		if change.at.Before(a.first) {
+			if well = change.well; well && change.at.After(known) {
+				known = change.at
+			}
+		}
+	}
+	if well && a.first.Sub(known) > newsWithin+grace {
+		j.broken(a.first, "drain", "%s went to %s %v after discovery had it", r.name(), a.server, a.first.Sub(at))
+	}
+}
+
+// offSince tells since when without a break a server is not listed as ready at a moment, as far as the
+// listings go that there were by then.
+func offSince(listings []listing, server string, by time.Time) (since time.Time, off bool) {
+	for _, l := range listings {
+		if l.at.After(by) {
+			break
+		}
+		ready := l.states[server] == "ready"
+		if !ready && !off {
+			since = l.at
+		}
+		off = !ready
+	}
+	return since, off
+}
+
+// judgeRepeats holds the attempts of one request to the rules on running it more than once.
+func (j *Judge) judgeRepeats(r *request) {
+	attempts := slices.Clone(r.attempts)
+	slices.SortFunc(attempts, func(a, b *attempt) int { return a.first.Compare(b.first) })
+	var ran *attempt
+	for i, a := range attempts {
+		for _, before := range attempts[:i] {
+			out := before.endedAt.IsZero() || before.endedAt.After(a.first.Add(j.slack(before.first, a.first)))
+			if before.mayHaveRun() && a.mayHaveRun() && out {
+				j.broken(a.first, "duplicate", "%s was out twice at once%s", r.name(), r.tries())
+			}
+		}
+		if ran != nil && a.mayHaveRun() && r.class.semantics == "unsafe" {
+			j.broken(a.first, "duplicate", "%s ran twice%s", r.name(), r.tries())
+		}
+		late := ran != nil && a.first.Sub(ran.first) > keyedWindow+j.slack(ran.first, a.first)
+		if ran != nil && a.mayHaveRun() && r.class.semantics == "keyed" && (late || a.zone != ran.zone) {
+			j.broken(a.first, "duplicate", "%s was repeated where its repeats are not dropped%s", r.name(), r.tries())
+		}
+		if ran == nil && a.mayHaveRun() {
+			ran = a
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lilacglade/internal/faultlayer"
+)
+
+var binary, library string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err == nil {
+		binary = filepath.Join(dir, "lilacglade")
+		build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", binary,
+			"lilacglade/cmd/lilacglade")
+		build.Env = append(os.Environ(), "CGO_ENABLED=1")
+		var out []byte
+		if out, err = build.CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err == nil {
+		library, err = faultlayer.Build(dir)
+	}
+	code := 1
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func newFleet(t *testing.T, seed uint64, proxies, servers int) *Fleet {
+	t.Helper()
+	f, err := New(context.Background(), Options{Binary: binary, Library: library, Dir: t.TempDir(), Seed: seed,
+		Proxies: proxies, Servers: servers, Every: 20 * time.Millisecond, Log: func(s string) { t.Log(s) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// finish ends a fleet and fails the test by what the judge found.
+func finish(t *testing.T, f *Fleet) Report {
+	t.Helper()
+	report, err := f.Finish()
+	if err != nil {
+		t.Error(err)
+	}
+	for i, v := range report.Violations {
+		if i == 20 {
+			t.Errorf("%d more", len(report.Violations)-i)
+			break
+		}
+		t.Error(v)
+	}
+	if t.Failed() {
+		for i := range f.processes {
+			t.Logf("log of n%d:\n%s", i, f.Log(i))
+		}
+	}
+	report.Violations = nil
+	t.Logf("%+v", report)
+	if report.Served < report.Asked/2 {
+		t.Errorf("served %d of %d", report.Served, report.Asked)
+	}
+	return report
+}
+
+// TestWallClockStepped is the incident of 2026-12-02: the wall clock of one process is stepped, forward or
+// back, and servers begin to drain after it; what is written to clients leaves in more than one piece.
+func TestWallClockStepped(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 20 * time.Second, -4 * time.Second} {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, uint64(step.Abs()/time.Second), 3, 6)
+			for _, p := range f.processes {
+				if err := p.Fault(faultlayer.Rule{Call: faultlayer.Write, Action: faultlayer.Short, Most: 300, Every: 3,
+					Port: clientPort}, 12*time.Second); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(time.Second)
+			f.processes[1].layer.SetClock(step)
+			time.Sleep(time.Second)
+			f.drain(f.servers[0], true)
+			time.Sleep(500 * time.Millisecond)
+			f.drain(f.servers[1], true)
+			time.Sleep(9 * time.Second)
+			finish(t, f)
+		})
+	}
+}
