Measure every wait for a socket as a span, never as a wall-clock deadline

Ruled out: discovery (the call fails after 70 us), the reducer's clock (requests in work across the step end normally).

Change: one clock type whose moments are durations since the process's start; sockets are given spans computed when the wait begins; the library's connections are used through an interface without its deadline methods. A dial or wait whose time is over is not begun, since the library takes a time-out of 0 for none.

--- a/internal/faultlayer/faultlayer.go
+++ b/internal/faultlayer/faultlayer.go
@@ -1,7 +1,7 @@
-// Package faultlayer has the clock and the system calls of a real process go wrong, for tests. A small library
-// (shim/faultlayer.c) is loaded into the process; a control file that both sides map says what goes wrong, and
-// may change at any time. Nothing of it is part of the program. It needs Linux on amd64 and the C compiler that
-// cgo needs anyway.
+// Package faultlayer has the clock and the system calls of a real process go wrong, for tests. A small
+// library (shim/faultlayer.c) is loaded into the process; a control file that both sides map says what goes
+// wrong, and may change at any time. Nothing of it is part of the program. It needs Linux on amd64 and the C
+// compiler that cgo needs anyway.
 package faultlayer
 
 import (
--- a/internal/faultlayer/faultlayer_test.go
+++ b/internal/faultlayer/faultlayer_test.go
@@ -196,8 +196,10 @@
 		rule Rule
 		want string
 	}{
-		{Rule{Call: Connect, Action: Fail, Errno: syscall.EADDRNOTAVAIL}, "connect: cannot assign requested address"},
-		{Rule{Call: Socket, Action: Fail, Errno: syscall.ENFILE, Times: 1}, "connect: too many open files in system"},
+		{Rule{Call: Connect, Action: Fail, Errno: syscall.EADDRNOTAVAIL},
+			"connect: cannot assign requested address"},
+		{Rule{Call: Socket, Action: Fail, Errno: syscall.ENFILE, Times: 1},
+			"connect: too many open files in system"},
 		{Rule{Call: Write, Action: Fail, Errno: syscall.EHOSTUNREACH}, "write: no route to host"},
 		{Rule{Call: Read, Action: Break, Errno: syscall.ETIMEDOUT, Times: 1}, "read: "},
 		{Rule{Call: Read, Action: Short, Most: 5}, "5 bytes"},
--- /dev/null
+++ b/internal/legs/clock.go
@@ -0,0 +1,29 @@
+package legs
+
+import "time"
+
+// longAgo is what the proxy's clock reads at its start: servers that started before it have
+// a time of their own, too.
+const longAgo = 24 * time.Hour
+
+// clock is the proxy's one source of time. It runs on the monotonic clock alone, so that a step of the wall
+// clock changes no deadline, window, wait or grace. A moment on it is a time.Duration, which can't be
+// mistaken for a wall time; what a library wants is made of until, a span, at the last moment.
+type clock struct{ start time.Time }
+
+func startClock() clock { return clock{time.Now()} }
+
+// now is the present moment.
+func (c clock) now() time.Duration { return c.at(time.Now()) }
+
+// at is the moment of a reading of the system's clock, which must have been made in this process.
+func (c clock) at(t time.Time) time.Duration { return longAgo + elapsed(t.Sub(c.start)) }
+
+// until is how long it is until a moment; 0 and below: it is over.
+func (c clock) until(at time.Duration) time.Duration { return lasting(at - c.now()) }
+
+// running is how long the process has run.
+func (c clock) running() time.Duration { return c.now() - longAgo }
+
+// epoch is the wall time at which the clock read 0, as the wall clock had it when the process started.
+func (c clock) epoch() time.Time { return c.start.Add(-longAgo) }
--- a/internal/legs/crossing_test.go
+++ b/internal/legs/crossing_test.go
@@ -90,8 +90,8 @@
 // given up: they count as told. Not so those of a discovery that was left.
 func TestAnswerOnAWatchGivenUp(t *testing.T) {
 	for _, from := range []string{"here", "elsewhere"} {
-		p := &proxy{servers: serverlist.New(nil, nil, time.Now()), watcher: newWatcher("here", newInbox()),
-			timer: time.NewTimer(far), inbox: newInbox()}
+		p := &proxy{servers: serverlist.New(nil, nil, time.Now()),
+			watcher: newWatcher("here", newInbox(), startClock()), timer: time.NewTimer(far), inbox: newInbox()}
 		set := lg.Settings{Balancers: 1, MaxAttempts: 1, AskForList: true,
 			Classes: []lg.Class{{Aim: time.Second, Deadline: time.Second, Worth: 1}}}
 		var err error
@@ -100,7 +100,7 @@
 		}
 		party := &party{addr: "127.0.0.1:1"}
 		p.take(document{from: p.watcher, raw: []byte(known(1, party))})
-		p.take(document{from: newWatcher(from, p.inbox), raw: []byte(fmt.Sprintf(
+		p.take(document{from: newWatcher(from, p.inbox, startClock()), raw: []byte(fmt.Sprintf(
 			`{"generation":2,"reset":false,"instances":[%s]}`, line("s-0", party.addr, "draining")))})
 		if drains := !p.state.Ready(); drains != (from == "here") {
 			t.Errorf("%s: the drain is known: %t", from, drains)
--- a/internal/legs/flow.go
+++ b/internal/legs/flow.go
@@ -146,7 +146,7 @@
 		if chunks && last {
 			bufs = append(bufs, http1.LastChunk)
 		}
-		if err := to.send(bufs, time.Now().Add(stallFor)); err != nil {
+		if err := to.send(bufs, stallFor); err != nil {
 			if !f.wanted(to, false) {
 				return errStopped
 			}
--- a/internal/legs/handover.go
+++ b/internal/legs/handover.go
@@ -46,7 +46,7 @@
 // longer needs.
 func (p *proxy) confined() {
 	stopping := p.listener.closed.Load()
-	confine(p.limits, p.passed && (stopping || time.Since(p.start) < overlapFor))
+	confine(p.limits, p.passed && (stopping || p.running() < overlapFor))
 	if stopping && p.passed {
 		go debug.FreeOSMemory()
 	}
@@ -71,7 +71,7 @@
 // takes tells whether connections may be taken: at once where nobody else would, else once they can be
 // served, or when that takes too long.
 func (p *proxy) takes() bool {
-	return !p.passed || p.state.Ready() || time.Since(p.start) >= confirmWithin
+	return !p.passed || p.state.Ready() || p.running() >= confirmWithin
 }
 
 // know takes in a server list that may be old.
@@ -160,7 +160,7 @@
 	p.set, p.stale = set, p.now()+staleFor
 	if !slices.Equal(before.ZoneNames, set.ZoneNames) || !slices.Equal(before.KindNames, set.KindNames) {
 		known = p.servers.Document()
-		p.servers = serverlist.New(set.ZoneNames, set.KindNames, p.start.Add(-longAgo))
+		p.servers = serverlist.New(set.ZoneNames, set.KindNames, p.epoch())
 	}
 	return known
 }
--- a/internal/legs/leg.go
+++ b/internal/legs/leg.go
@@ -19,9 +19,10 @@
 	id     proxystate.LegID
 	caller bool
 	inbox  *inbox
-	conn   netpoll.Connection // nil until a dialed leg is open
-	unread atomic.Int64       // bytes on their way to the reducer's goroutine
-	deaf   atomic.Bool        // what still comes is dropped when it is read
+	clock  clock
+	conn   connection   // nil until a dialed leg is open
+	unread atomic.Int64 // bytes on their way to the reducer's goroutine
+	deaf   atomic.Bool  // what still comes is dropped when it is read
 
 	// Owned by the reducer's goroutine.
 	parser         http1.Parser
@@ -59,11 +60,11 @@
 // job is one gathered write.
 type job struct {
 	bufs   [][]byte
-	by     time.Time
-	report bool        // post the end of it
-	detach bool        // detach the leg in place of writing
-	pass   func()      // pass a flow on in place of writing
-	late   func() bool // asked just before: it is too late to begin, and that was posted; nil: it never is
+	by     time.Duration // on the proxy's clock
+	report bool          // post the end of it
+	detach bool          // detach the leg in place of writing
+	pass   func()        // pass a flow on in place of writing
+	late   func() bool   // asked just before: it is too late to begin, and that was posted; nil: it never is
 }
 
 // attach hooks a leg into its connection. It must come before OnRequest is set.
@@ -153,7 +154,7 @@
 			j.pass()
 			continue
 		}
-		err := g.send(j.bufs, j.by)
+		err := g.send(j.bufs, g.clock.until(j.by))
 		if j.report {
 			g.inbox.post(written{leg: g, err: err})
 		}
@@ -232,8 +233,8 @@
 }
 
 // dial opens a leg by the given time.
-func (g *leg) dial(address string, by time.Time) {
-	conn, err := netpoll.DialConnection("tcp", address, time.Until(by)) // the library wants a time-out
+func (g *leg) dial(address string, by time.Duration) {
+	conn, err := dial(address, g.clock.until(by))
 	if err != nil {
 		g.inbox.post(dialed{leg: g})
 		return
--- a/internal/legs/legs_test.go
+++ b/internal/legs/legs_test.go
@@ -40,7 +40,7 @@
 	}
 	for round := range 300 {
 		box := newInbox()
-		g := &leg{inbox: box, parser: http1.Parser{Responses: true}}
+		g := &leg{inbox: box, clock: startClock(), parser: http1.Parser{Responses: true}}
 		conn, err := netpoll.DialConnection("tcp", ln.Addr().String(), far)
 		// The library's race build finds a connection by its descriptor, and takes the end of the last one for
 		// that of a new one with the same number.
@@ -54,7 +54,7 @@
 		reports, ends := 0, 0
 		if g.open(conn) {
 			for range jobs {
-				g.write(job{bufs: bufs, by: time.Now().Add(far), report: true})
+				g.write(job{bufs: bufs, by: g.clock.now() + far, report: true})
 			}
 		} else {
 			reports = jobs
@@ -96,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &leg{inbox: newInbox(), parser: http1.Parser{Responses: true}}
+	g := &leg{inbox: newInbox(), clock: startClock(), parser: http1.Parser{Responses: true}}
 	if t.Cleanup(func() { g.close(); other.Close() }); !g.open(conn) {
 		t.Fatal("not open")
 	}
--- a/internal/legs/observe.go
+++ b/internal/legs/observe.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// called takes in the end of a call to discovery. A fault is logged when it begins, when it changes, and once
-// a burst for as long as it lasts.
+// called takes in the end of a call to discovery. A fault is logged when it begins, when it changes, and
+// once a burst for as long as it lasts.
 func (o *observer) called(d document, err error, now time.Duration) {
 	if err == nil {
 		o.figures.CallsAnswered++
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -25,10 +25,6 @@
 	"lilacglade/internal/settings"
 )
 
-// longAgo is what the proxy's clock reads at its start: servers that started before it have
-// a time of their own, too.
-const longAgo = 24 * time.Hour
-
 // Descriptors are budgeted apart, so that neither side can starve the other: some stay for
 // the listener, the poller and discovery, and of the rest callers get these parts.
 const (
@@ -56,8 +52,8 @@
 const recvBuffer = http1.MaxBody
 
 type proxy struct {
-	set      settings.Settings
-	start    time.Time
+	set settings.Settings
+	clock
 	inbox    *inbox
 	state    *proxystate.State
 	servers  *serverlist.Set
@@ -107,10 +103,10 @@
 
 // ServeBy runs the proxy with options.
 func ServeBy(ctx context.Context, node settings.Node, reloads <-chan Load, o Options) error {
-	p := &proxy{set: node.Settings, start: time.Now(), inbox: newInbox(),
+	p := &proxy{set: node.Settings, clock: startClock(), inbox: newInbox(),
 		callers: map[proxystate.LegID]*leg{}, hops: map[proxystate.LegID]*leg{}, timer: time.NewTimer(0),
 		observed: newObserver()}
-	p.servers = serverlist.New(p.set.ZoneNames, p.set.KindNames, p.start.Add(-longAgo))
+	p.servers = serverlist.New(p.set.ZoneNames, p.set.KindNames, p.epoch())
 	callers, hops := budget(node.Limits)
 	var err error
 	p.passed = node.Passed != ""
@@ -193,7 +189,7 @@
 	var last atomic.Uint64
 	return func(conn netpoll.Connection) context.Context {
 		ln.open.Add(1)
-		g := &leg{id: proxystate.LegID(last.Add(1)), caller: true, inbox: p.inbox}
+		g := &leg{id: proxystate.LegID(last.Add(1)), caller: true, inbox: p.inbox, clock: p.clock}
 		g.attach(conn, func() { ln.open.Add(-1) })
 		p.inbox.post(accepted{g})
 		return context.WithValue(context.Background(), legKey{}, g)
@@ -229,12 +225,6 @@
 	return nil
 }
 
-func (p *proxy) now() time.Duration { return p.at(time.Now()) }
-
-func (p *proxy) at(t time.Time) time.Duration { return longAgo + elapsed(t.Sub(p.start)) }
-
-func (p *proxy) wall(at time.Duration) time.Time { return p.start.Add(lasting(at - longAgo)) }
-
 // take turns an item into the reducer's events.
 func (p *proxy) take(item any) {
 	switch item := item.(type) {
@@ -374,7 +364,7 @@
 		p.step(unreadable(g.id, http1.ErrBodySize))
 	case g.parser.Partial():
 		if g.parser.WantsContinue() {
-			g.write(job{bufs: http1.Continue(), by: time.Now().Add(continueWithin)})
+			g.write(job{bufs: http1.Continue(), by: p.now() + continueWithin})
 		}
 		if g.parser.Large() && g.isRaw {
 			p.upload(g)
@@ -642,7 +632,7 @@
 				g.write(p.pass(f, g, f.m.BackHead(fieldLoad, f.length, f.old, e.Last)))
 				return
 			}
-			g.write(job{bufs: answer(e), by: p.wall(e.At), report: true})
+			g.write(job{bufs: answer(e), by: e.At, report: true})
 		}
 	case proxystate.EaseCaller:
 		if g := p.callers[e.Leg]; g != nil {
@@ -657,9 +647,9 @@
 			g.close()
 		}
 	case proxystate.Dial:
-		g := &leg{id: e.Leg, inbox: p.inbox, parser: http1.Parser{Responses: true}}
+		g := &leg{id: e.Leg, inbox: p.inbox, clock: p.clock, parser: http1.Parser{Responses: true}}
 		p.hops[e.Leg] = g
-		go g.dial(p.servers.Address(e.Server), p.wall(e.At))
+		go g.dial(p.servers.Address(e.Server), e.At)
 	case proxystate.Forward:
 		if g := p.hops[e.Leg]; g != nil {
 			if !g.fit() {
@@ -676,7 +666,7 @@
 				return
 			}
 			bufs := e.Payload.(*http1.Message).Forward(fieldTimeout, ms)
-			g.write(job{bufs: bufs, by: p.wall(e.At), report: true, late: p.late(e, written{leg: g})})
+			g.write(job{bufs: bufs, by: e.At, report: true, late: p.late(e, written{leg: g})})
 		}
 	case proxystate.CloseHop:
 		if g := p.hops[e.Leg]; g != nil {
@@ -696,7 +686,7 @@
 			}
 		}
 	case proxystate.Arm:
-		p.timer.Reset(time.Until(p.wall(e.At)))
+		p.timer.Reset(p.until(e.At))
 	case proxystate.Watch:
 		if p.watcher == nil || p.watcher.address != e.Text || e.Anew {
 			if p.watcher != nil {
@@ -705,10 +695,10 @@
 			if p.watcher != nil && p.watcher.address != e.Text {
 				p.servers.Forget()
 			}
-			p.watcher = newWatcher(e.Text, p.inbox)
+			p.watcher = newWatcher(e.Text, p.inbox, p.clock)
 			go p.watcher.run()
 		}
-		p.watcher.ask(call{p.servers.Query(p.now(), e.At), p.wall(e.At + answerWithin)})
+		p.watcher.ask(call{p.servers.Query(p.now(), e.At), e.At + answerWithin})
 	case proxystate.Publish:
 		figures := e.Payload.(*proxystate.Figures)
 		figures.Sockets = p.observed.figures
--- a/internal/legs/raw.go
+++ b/internal/legs/raw.go
@@ -271,8 +271,9 @@
 	}
 }
 
-// send writes the slices in order. It waits until they are written, the time has come, or the leg is gone.
-func (g *leg) send(bufs [][]byte, by time.Time) error {
+// send writes the slices in order. It waits until they are written, so long at most, or
+// until the leg is gone.
+func (g *leg) send(bufs [][]byte, within time.Duration) error {
 	g.mu.Lock()
 	if g.leaving && !g.gone { // being detached
 		g.mu.Unlock()
@@ -281,7 +282,7 @@
 	}
 	if raw := g.raw; raw != nil {
 		g.mu.Unlock()
-		if err := raw.SetWriteDeadline(by); err != nil {
+		if err := raw.SetWriteDeadline(time.Now().Add(within)); err != nil {
 			return err
 		}
 		all := net.Buffers(append([][]byte(nil), bufs...))
@@ -293,10 +294,7 @@
 	if err != nil {
 		return err
 	}
-	if err := g.conn.SetWriteDeadline(by); err != nil {
-		return err
-	}
-	return g.conn.Writer().Flush()
+	return flush(g.conn, within)
 }
 
 // fill puts the slices into the library's buffer. The caller holds g.mu.
--- a/internal/legs/watcher.go
+++ b/internal/legs/watcher.go
@@ -18,23 +18,24 @@
 // call is one call to discovery.
 type call struct {
 	target string
-	by     time.Time
+	by     time.Duration // on the proxy's clock
 }
 
 // watcher calls discovery at one address, one call at a time on a connection that it keeps.
 type watcher struct {
 	address string
 	inbox   *inbox
+	clock   clock
 	calls   chan call
-	conn    netpoll.Connection // opened and closed by run alone
-	number  uint64             // of the last call that it made
+	conn    connection // opened and closed by run alone
+	number  uint64     // of the last call that it made
 
 	mu      sync.Mutex
 	stopped bool
 }
 
-func newWatcher(address string, b *inbox) *watcher {
-	return &watcher{address: address, inbox: b, calls: make(chan call, 1)}
+func newWatcher(address string, b *inbox, c clock) *watcher {
+	return &watcher{address: address, inbox: b, clock: c, calls: make(chan call, 1)}
 }
 
 // ask wants a call made. One that is not yet begun is replaced.
@@ -76,7 +77,7 @@
 }
 
 // hold closes the connection and keeps the given one, unless the watcher was stopped.
-func (w *watcher) hold(conn netpoll.Connection) bool {
+func (w *watcher) hold(conn connection) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.conn != nil {
@@ -92,7 +93,7 @@
 // do makes one call.
 func (w *watcher) do(c call) ([]byte, error) {
 	if w.conn == nil || !w.conn.IsActive() {
-		conn, err := netpoll.DialConnection("tcp", w.address, min(answerWithin, time.Until(c.by)))
+		conn, err := dial(w.address, min(answerWithin, w.clock.until(c.by)))
 		if err != nil {
 			return nil, err
 		}
@@ -105,13 +106,10 @@
 			return nil, err
 		}
 	}
-	if err := w.conn.SetDeadline(c.by); err != nil {
+	if err := flush(w.conn, w.clock.until(c.by)); err != nil {
 		return nil, err
 	}
-	if err := w.conn.Writer().Flush(); err != nil {
-		return nil, err
-	}
-	m, err := w.read()
+	m, err := w.read(c.by)
 	if err != nil {
 		return nil, err
 	}
@@ -124,10 +122,10 @@
 	return m.Body, nil
 }
 
-func (w *watcher) read() (*http1.Message, error) {
+func (w *watcher) read(by time.Duration) (*http1.Message, error) {
 	parser := http1.Parser{Responses: true}
 	for {
-		b, err := w.more()
+		b, err := w.more(by)
 		if err != nil {
 			if m := parser.End(); m != nil && !w.reset() {
 				return m, nil
@@ -140,7 +138,7 @@
 			return m, err
 		}
 		if parser.Large() { // a list of many servers
-			return w.rest(&parser)
+			return w.rest(&parser, by)
 		}
 	}
 }
@@ -152,11 +150,11 @@
 }
 
 // more waits for the next bytes.
-func (w *watcher) more() ([]byte, error) {
-	r := w.conn.Reader()
-	if _, err := r.Peek(1); err != nil {
+func (w *watcher) more(by time.Duration) ([]byte, error) {
+	if err := await(w.conn, w.clock.until(by)); err != nil {
 		return nil, err
 	}
+	r := w.conn.Reader()
 	b, err := r.ReadBinary(r.Len())
 	if err != nil {
 		return nil, err
@@ -165,10 +163,10 @@
 }
 
 // rest reads the rest of a large answer.
-func (w *watcher) rest(parser *http1.Parser) (*http1.Message, error) {
+func (w *watcher) rest(parser *http1.Parser, by time.Duration) (*http1.Message, error) {
 	m, body, _ := parser.Stream()
 	for !body.Done {
-		in, err := w.more()
+		in, err := w.more(by)
 		if err != nil {
 			if body.TillClose() && !w.reset() {
 				return m, nil
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -20,7 +20,8 @@
 	worth           float64
 }
 
-var classes3 = []class{{"look", "safe", 800 * time.Millisecond, 1}, {"upload", "keyed", 1500 * time.Millisecond, 5},
+var classes = []class{{"look", "safe", 800 * time.Millisecond, 1},
+	{"upload", "keyed", 1500 * time.Millisecond, 5},
 	{"edit", "unsafe", 800 * time.Millisecond, 5}}
 
 // patience is how long after its deadline a client still waits, to see an answer that comes too late.
@@ -100,7 +101,7 @@
 func (c *clients) draw(n int) drawn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kind := classes3[c.rng.IntN(len(classes3))]
+	kind := classes[c.rng.IntN(len(classes))]
 	id := fmt.Sprintf("%s-%d-%x", c.proc.Name, n, c.rng.Uint32())
 	d := drawn{request: &request{id: id, proxy: c.proc.Name, class: kind, timeout: kind.deadline}, pieces: 1,
 		fresh: c.rng.IntN(10) == 0}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -245,8 +245,8 @@
 	j.reach = append(j.reach, reach{at, well})
 }
 
-// restarted notes that a process starts anew, or is told to ask elsewhere: what it was told before counts for
-// nothing, and it has the same time as any other to hear of what there is.
+// restarted notes that a process starts anew, or is told to ask elsewhere: what it was told before counts
+// for nothing, and it has the same time as any other to hear of what there is.
 func (j *Judge) restarted(proxy string, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -366,7 +366,8 @@
 			j.broken(a.first, "deadline", "%s was told %v for %s, which has %v left", a.server, a.told, r.name(), left)
 		}
 		if !r.leftAt.IsZero() && a.first.After(r.leftAt.Add(leftSlack+slack)) {
-			j.broken(a.first, "lost", "%s went to %s %v after its client left", r.name(), a.server, a.first.Sub(r.leftAt))
+			j.broken(a.first, "lost", "%s went to %s %v after its client left", r.name(), a.server,
+				a.first.Sub(r.leftAt))
 		}
 		if !r.doneAt.IsZero() && a.first.After(r.doneAt.Add(slack)) {
 			j.broken(a.first, "lost", "%s went to %s %v after its end", r.name(), a.server, a.first.Sub(r.doneAt))
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -109,9 +109,9 @@
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func (p *Process) configure(discovery string) {
-	classes := []any{}
-	for _, c := range classes3 {
-		classes = append(classes, map[string]any{"name": c.name, "aim": millis(c.deadline) / 2,
+	described := []any{}
+	for _, c := range classes {
+		described = append(described, map[string]any{"name": c.name, "aim": millis(c.deadline) / 2,
 			"deadline": millis(c.deadline), "late-worth": 0.2, "semantics": c.semantics, "group": "zone",
 			"memory-span": millis(keyedWindow), "worth": c.worth})
 	}
@@ -125,7 +125,7 @@
 			"bounds": map[string]any{"cancel": true, "connect-timeout": millis(connectTimeout),
 				"keepalive": millis(keepAlive), "max-retry-after": 1000.0, "most-tries": 4, "retry-after": true,
 				"second-copies": false},
-			"classes": classes, "counted-by": "request", "membership-mode": "on_request", "over-share-worth": 0.1,
+			"classes": described, "counted-by": "request", "membership-mode": "on_request", "over-share-worth": 0.1,
 			"prices":    map[string]any{"cross-zone": 0.025},
 			"reporting": map[string]any{"how": "piggyback", "names": []string{"rif"}},
 			"rules": map[string]any{"answer-slack": 20.0, "ask-every": millis(askEvery), "cold-from": 0.3,
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,8 +1,8 @@
-// Package soak runs a fleet of real proxy processes under random faults that overlap in time, and judges what
-// clients, servers and discovery saw of it by the rules of the protocol. The faults are those of the machine
-// underneath (clock steps and failing system calls, by package faultlayer), of the network, of servers, clients
-// and discovery, and signals. Everything is on the loopback, bounded, and ends by itself. For tests and
-// "lilalab soak" only.
+// Package soak runs a fleet of real proxy processes under random faults that overlap in time, and judges
+// what clients, servers and discovery saw of it by the rules of the protocol. The faults are those of the
+// machine underneath (clock steps and failing system calls, by package faultlayer), of the network, of
+// servers, clients and discovery, and signals. Everything is on the loopback, bounded, and ends by itself.
+// For tests and "lilalab soak" only.
 package soak
 
 import (
--- a/internal/wallclock/wallclock.go
+++ b/internal/wallclock/wallclock.go
@@ -1,5 +1,5 @@
-// Package wallclock tells when the machine's wall clock was stepped. The proxy measures every span of time by
-// the monotonic clock, so a step must change nothing; operators want to see it all the same.
+// Package wallclock tells when the machine's wall clock was stepped. The proxy measures every span of time
+// by the monotonic clock, so a step must change nothing; operators want to see it all the same.
 package wallclock
 
 import "time"
