Take no age from the wall clock where discovery or the monotonic clock speak against it

(1) A server's start is told as Unix time and was turned into the proxy's time by the wall clock at the process's start: with a clock an hour ahead a cold server counts as warm (rule failback). (2) What one process hands over to the next was aged by the wall clock, so a step between them had it turned down or taken for fresh.

Handovers carry the machine's monotonic clock and its start; the form stays readable both ways.

Open: a fresh process on a machine whose clock is ahead, with no list from before, believes it until the first start that it watches.

--- a/internal/legs/handover.go
+++ b/internal/legs/handover.go
@@ -11,9 +11,7 @@
 
 	"github.com/cloudwego/netpoll"
 
-	lg "lilacglade"
 	"lilacglade/internal/proxystate"
-	"lilacglade/internal/serverlist"
 	"lilacglade/internal/settings"
 	"lilacglade/internal/upgrade"
 )
@@ -76,12 +74,11 @@
 
 // know takes in a server list that may be old.
 func (p *proxy) know(raw []byte) bool {
-	list, err := p.servers.Apply(raw)
+	list, err := p.servers.Remember(raw, p.now())
 	if err != nil {
 		log.Printf("known: %v", err)
 		return false
 	}
-	list.Kind = lg.CachedList
 	if !p.set.AskForList {
 		p.servers.Forget() // guards against a watch that waits for news, while what is known counts as outdated
 	}
@@ -96,7 +93,8 @@
 		return false
 	}
 	p.saver = newSaver(node.Temp)
-	h, err := upgrade.Load(node.Temp, time.Now())
+	now := upgrade.Now()
+	h, err := upgrade.Load(node.Temp, now)
 	if err == upgrade.ErrNone {
 		return false
 	}
@@ -104,11 +102,14 @@
 		log.Printf("cold start: %v", err)
 		return false
 	}
+	if h.Epoch > 0 && h.Boot == now.Boot {
+		p.servers.SetEpoch(h.Epoch + now.Monotonic - p.now())
+	}
 	if !p.know(h.Routes) {
 		return false
 	}
-	p.step(proxystate.Remembered{Ago: max(0, time.Since(h.Saved)), Learned: h.Learned})
-	log.Printf("took over from a process that wrote %v ago", time.Since(h.Saved).Round(time.Millisecond))
+	p.step(proxystate.Remembered{Ago: max(0, h.Age), Learned: h.Learned})
+	log.Printf("took over from a process that wrote %v ago", h.Age.Round(time.Millisecond))
 	return true
 }
 
@@ -118,7 +119,12 @@
 		return
 	}
 	p.saver.last = time.Now()
-	h := upgrade.Handover{Saved: p.saver.last, Routes: p.servers.Document(), Learned: p.state.Learned()}
+	h := upgrade.Handover{Routes: p.servers.Document(), Learned: p.state.Learned()}
+	now := upgrade.Now()
+	h.Stamp(now)
+	if now.Monotonic > 0 {
+		h.Epoch = p.servers.Epoch() - (now.Monotonic - p.now())
+	}
 	select {
 	case p.saver.next <- h:
 	default: // the disk is slow: a later one will do
@@ -160,7 +166,7 @@
 	p.set, p.stale = set, p.now()+staleFor
 	if !slices.Equal(before.ZoneNames, set.ZoneNames) || !slices.Equal(before.KindNames, set.KindNames) {
 		known = p.servers.Document()
-		p.servers = serverlist.New(set.ZoneNames, set.KindNames, p.epoch())
+		p.servers = p.servers.Anew(set.ZoneNames, set.KindNames)
 	}
 	return known
 }
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -586,7 +586,7 @@
 	if d.err != nil {
 		return
 	}
-	if list, ok := p.servers.ApplyLate(d.raw); ok {
+	if list, ok := p.servers.ApplyLate(d.raw, p.now()); ok {
 		p.logChanges()
 		p.step(proxystate.ListTold{List: list, Late: true})
 		p.inventory()
@@ -597,7 +597,7 @@
 	list, err := lg.List{Kind: lg.ListFailed}, d.err
 	if err == nil {
 		var told lg.List
-		if told, err = p.servers.Apply(d.raw); err == nil {
+		if told, err = p.servers.Apply(d.raw, p.now()); err == nil {
 			list = told
 		}
 	}
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -24,19 +24,32 @@
 	changes bool   // what has changed since is wanted next, else the whole list
 
 	zones, kinds []string
-	epoch        time.Time // when the proxy's clock read 0
+	starts       *starts
 	addrs        map[lg.ServerID]string
 	told         map[lg.ServerID]instance // as told last, for Document
 	changed      []Change                 // by the last document that was taken in
 }
 
 // New returns an empty Set. The names give zones and kinds their numbers; epoch is the
-// moment at which the proxy's clock read 0.
+// moment at which the proxy's clock read 0, by the wall clock.
 func New(zones, kinds []string, epoch time.Time) *Set {
-	return &Set{zones: zones, kinds: kinds, epoch: epoch, addrs: map[lg.ServerID]string{},
+	return emptySet(zones, kinds, newStarts(epoch))
+}
+
+// Anew returns an empty Set with other names, that knows what this one knows of servers' start times.
+func (s *Set) Anew(zones, kinds []string) *Set { return emptySet(zones, kinds, s.starts) }
+
+func emptySet(zones, kinds []string, known *starts) *Set {
+	return &Set{zones: zones, kinds: kinds, starts: known, addrs: map[lg.ServerID]string{},
 		told: map[lg.ServerID]instance{}}
 }
 
+// Epoch is the Unix time at which the proxy's clock read 0, as far as is known.
+func (s *Set) Epoch() time.Duration { return s.starts.epoch() }
+
+// SetEpoch has it be what another process on this machine knew, in place of what the wall clock said.
+func (s *Set) SetEpoch(epoch time.Duration) { s.starts.wall = epoch }
+
 // Address tells where a next hop listens, "" when the server list doesn't name it.
 func (s *Set) Address(id lg.ServerID) string { return s.addrs[id] }
 
@@ -76,30 +89,48 @@
 // Forget has the whole list asked for next: another discovery may count its own way.
 func (s *Set) Forget() { s.changes = false }
 
-// Apply takes a document in. One that makes no sense changes nothing but what is asked for next: the last
-// good server list stays, and the whole list is wanted next.
-func (s *Set) Apply(raw []byte) (lg.List, error) {
+// Apply takes in a document that discovery gave at a moment on the proxy's clock. One that makes no sense
+// changes nothing but what is asked for next: the last good server list stays, and the whole list is wanted
+// next.
+func (s *Set) Apply(raw []byte, now time.Duration) (lg.List, error) {
+	return s.apply(raw, now, false)
+}
+
+// Remember takes in a document from before this process.
+func (s *Set) Remember(raw []byte, now time.Duration) (lg.List, error) {
+	list, err := s.apply(raw, now, true)
+	list.Kind = lg.CachedList
+	return list, err
+}
+
+func (s *Set) apply(raw []byte, now time.Duration, cached bool) (lg.List, error) {
 	list, version, instances, err := s.read(raw)
 	if err != nil {
 		s.changes = false
 		return lg.List{}, fmt.Errorf("route set: %w", err)
 	}
-	s.learn(list, version, instances)
-	return list, nil
+	return s.learn(list, version, instances, now, cached), nil
 }
 
 // ApplyLate takes a document in that answers a call which was given up, and tells whether it is of use: only
 // what is newer than what is known by then.
-func (s *Set) ApplyLate(raw []byte) (lg.List, bool) {
+func (s *Set) ApplyLate(raw []byte, now time.Duration) (lg.List, bool) {
 	list, version, instances, err := s.read(raw)
 	if err != nil || !s.changes || version <= s.version {
 		return lg.List{}, false
 	}
-	s.learn(list, version, instances)
-	return list, true
+	return s.learn(list, version, instances, now, false), true
 }
 
-func (s *Set) learn(list lg.List, version uint64, instances []instance) {
+// learn makes a document the one in force. It returns the list with the servers' start times, and with
+// servers that the document does not name where it showed that they started later than was thought.
+func (s *Set) learn(list lg.List, version uint64, instances []instance, now time.Duration,
+	cached bool) lg.List {
+	s.starts.learn(instances, now, cached)
+	younger := s.starts.correct(now)
+	for i, in := range instances {
+		list.Servers[i].Started = s.starts.moment(in)
+	}
 	s.changed = s.differences(list, instances)
 	if list.Kind == lg.FullList {
 		clear(s.addrs)
@@ -114,6 +145,20 @@
 		}
 	}
 	s.version, s.changes = version, len(s.told) > 0
+	s.starts.prune(s.told)
+	for _, id := range younger {
+		named := slices.ContainsFunc(instances, func(in instance) bool { return ID(in.ID) == id })
+		if in, ok := s.told[id]; ok && !named {
+			list.Servers = append(list.Servers, s.server(in))
+		}
+	}
+	return list
+}
+
+// server is an instance as the decision module knows it.
+func (s *Set) server(in instance) lg.Server {
+	return lg.Server{ID: ID(in.ID), Zone: slices.Index(s.zones, in.Zone), Kind: slices.Index(s.kinds, in.Kind),
+		Cell: in.Cell, State: states[in.State], Weight: in.Weight, Started: s.starts.moment(in)}
 }
 
 func (s *Set) read(raw []byte) (list lg.List, version uint64, told []instance, err error) {
@@ -136,8 +181,7 @@
 	seen := map[lg.ServerID]bool{}
 	for _, in := range doc.Instances {
 		state, ok := states[in.State]
-		l := lg.Server{ID: ID(in.ID), Zone: slices.Index(s.zones, in.Zone), Kind: slices.Index(s.kinds, in.Kind),
-			Cell: in.Cell, State: state, Weight: in.Weight}
+		l := s.server(in)
 		addr, bad := netip.ParseAddrPort(in.Addr)
 		switch {
 		case in.ID == "" || seen[l.ID]:
@@ -151,11 +195,6 @@
 		case in.Started < 0 || in.Started > maxStarted:
 			return list, 0, nil, fmt.Errorf("instance %s: startedAtMs %v", in.ID, in.Started)
 		}
-		// Against one fixed epoch, so that the same start always gives the same time: a
-		// start that moved would look like a restart.
-		if in.Started > 0 {
-			l.Started = time.UnixMilli(int64(in.Started)).Sub(s.epoch)
-		}
 		seen[l.ID] = true
 		list.Servers = append(list.Servers, l)
 	}
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -12,6 +12,9 @@
 	lg "lilacglade"
 )
 
+// testNow is a moment long after all starts that the tests tell of.
+const testNow = 365 * 24 * time.Hour
+
 func doc(version, full, entries string) []byte {
 	return []byte(`{"generation":` + version + `,"reset":` + full + `,"instances":[` + entries + `]}`)
 }
@@ -25,7 +28,7 @@
 
 func newSet(t *testing.T) *Set {
 	s := New([]string{"a", "b"}, []string{"m1", "m2"}, time.UnixMilli(1700000000000))
-	if _, err := s.Apply(doc("41", "true", good)); err != nil {
+	if _, err := s.Apply(doc("41", "true", good), testNow); err != nil {
 		t.Fatal(err)
 	}
 	return s
@@ -33,7 +36,8 @@
 
 func TestListsAndChanges(t *testing.T) {
 	s := newSet(t)
-	list, err := s.Apply(doc("42", "false", entry("s-1", "127.0.0.1:82", "draining", "1.5", "1700000060000")))
+	list, err := s.Apply(doc("42", "false",
+		entry("s-1", "127.0.0.1:82", "draining", "1.5", "1700000060000")), testNow)
 	want := lg.Server{ID: ID("s-1"), Zone: 1, Kind: 1, Cell: 3, State: lg.Draining, Weight: 1.5,
 		Started: time.Minute}
 	if err != nil || list.Kind != lg.Changes || len(list.Servers) != 1 || list.Servers[0] != want {
@@ -45,7 +49,7 @@
 	if q := s.Query(time.Hour, time.Hour+20*time.Second); q != "/v1/servers?since=42&timeout_ms=20000" {
 		t.Errorf("query %s", q)
 	}
-	_, err = s.Apply(doc("43", "false", entry("s-1", "", "gone", "1", "0")))
+	_, err = s.Apply(doc("43", "false", entry("s-1", "", "gone", "1", "0")), testNow)
 	if err != nil || s.Address(ID("s-1")) != "" {
 		t.Errorf("gone: %v, %q", err, s.Address(ID("s-1")))
 	}
@@ -57,7 +61,8 @@
 	s := New(nil, nil, time.UnixMilli(1700000000000))
 	for _, tc := range []struct{ entries, want string }{{"", "/v1/servers"},
 		{good, "/v1/servers?since=0&timeout_ms=1000"}} {
-		if _, err := s.Apply(doc("0", "true", tc.entries)); err != nil || s.Query(0, time.Second) != tc.want {
+		_, err := s.Apply(doc("0", "true", tc.entries), testNow)
+		if err != nil || s.Query(0, time.Second) != tc.want {
 			t.Errorf("%d known: %v, query %s", len(tc.entries), err, s.Query(0, time.Second))
 		}
 	}
@@ -72,8 +77,8 @@
 	if err := json.Indent(&b, doc("5", "true", good), "\t", "  "); err != nil {
 		t.Fatal(err)
 	}
-	plain, _ := New(nil, nil, time.UnixMilli(1700000000000)).Apply(doc("5", "true", good))
-	got, err := New(nil, nil, time.UnixMilli(1700000000000)).Apply(b.Bytes())
+	plain, _ := New(nil, nil, time.UnixMilli(1700000000000)).Apply(doc("5", "true", good), testNow)
+	got, err := New(nil, nil, time.UnixMilli(1700000000000)).Apply(b.Bytes(), testNow)
 	if err != nil || !reflect.DeepEqual(got, plain) || len(got.Servers) == 0 {
 		t.Errorf("%v, %+v in place of %+v", err, got, plain)
 	}
@@ -83,10 +88,10 @@
 // it changes nothing else.
 func TestLateDocument(t *testing.T) {
 	s := New(nil, nil, time.UnixMilli(1700000000000))
-	if _, ok := s.ApplyLate(doc("5", "true", good)); ok {
+	if _, ok := s.ApplyLate(doc("5", "true", good), testNow); ok {
 		t.Error("taken before the first list of this discovery")
 	}
-	if _, err := s.Apply(doc("5", "true", good)); err != nil {
+	if _, err := s.Apply(doc("5", "true", good), testNow); err != nil {
 		t.Fatal(err)
 	}
 	for _, tc := range []struct {
@@ -95,7 +100,7 @@
 		next string
 	}{{doc("5", "false", ""), false, "5"}, {doc("4", "true", good), false, "5"}, {[]byte("{"), false, "5"},
 		{doc("6", "false", ""), true, "6"}} {
-		if _, ok := s.ApplyLate(tc.raw); ok != tc.ok ||
+		if _, ok := s.ApplyLate(tc.raw, testNow); ok != tc.ok ||
 			s.Query(0, time.Second) != "/v1/servers?since="+tc.next+"&timeout_ms=1000" {
 			t.Errorf("%s: taken %t, query %s", tc.raw, ok, s.Query(0, time.Second))
 		}
@@ -117,7 +122,7 @@
 	}
 	for want, raw := range tests {
 		s := newSet(t)
-		if _, err := s.Apply(raw); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := s.Apply(raw, testNow); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: error %v", want, err)
 		}
 		if s.Address(ID("s-1")) != "127.0.0.1:81" || s.Query(0, 0) != "/v1/servers" {
@@ -147,7 +152,7 @@
 	} {
 		raw := fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, i, step.reset,
 			strings.Join(step.entries, ","))
-		if _, err := s.Apply([]byte(raw)); err != nil {
+		if _, err := s.Apply([]byte(raw), testNow); err != nil {
 			t.Fatal(err)
 		}
 		if got := fmt.Sprint(s.Changes()); got != step.want {
--- a/internal/upgrade/handover.go
+++ b/internal/upgrade/handover.go
@@ -16,11 +16,20 @@
 
 // Handover is what the next process of this proxy should know.
 type Handover struct {
-	Saved   time.Time
-	Routes  json.RawMessage // the server list as a document of discovery
+	Saved     time.Time
+	Monotonic time.Duration   // when it was saved, and
+	Boot      string          // at which start of the machine, as in Moment
+	Routes    json.RawMessage // the server list as a document of discovery
+	// Epoch is the Unix time at which the monotonic clock read 0, as the process has it that read the list's
+	// start times; 0: not known
+	Epoch   time.Duration
 	Learned lg.Learned
+	Age     time.Duration `json:"-"` // as it was loaded
 }
 
+// Stamp notes when the handover is saved.
+func (h *Handover) Stamp(m Moment) { h.Saved, h.Monotonic, h.Boot = m.Wall, m.Monotonic, m.Boot }
+
 // Of the file: its name, the version of its form, how large it may be, and how old.
 const (
 	fileName = "lilacglade.handover"
@@ -51,7 +60,7 @@
 }
 
 // Load reads what was handed over. An error other than ErrNone says what is wrong with it.
-func Load(dir string, now time.Time) (Handover, error) {
+func Load(dir string, now Moment) (Handover, error) {
 	f, err := os.Open(filepath.Join(dir, fileName))
 	if errors.Is(err, os.ErrNotExist) {
 		return Handover{}, ErrNone
@@ -70,7 +79,7 @@
 }
 
 // Parse checks and decodes a handover.
-func Parse(raw []byte, now time.Time) (Handover, error) {
+func Parse(raw []byte, now Moment) (Handover, error) {
 	var h Handover
 	head, body, _ := bytes.Cut(raw, []byte("\n"))
 	var version, length int
@@ -89,8 +98,9 @@
 	if err := json.Unmarshal(body, &h); err != nil {
 		return Handover{}, fmt.Errorf("handover: %w", err)
 	}
-	if age := now.Sub(h.Saved); age < -maxAge || age > maxAge {
-		return Handover{}, fmt.Errorf("handover: %v old, at most %v", age.Round(time.Millisecond), maxAge)
+	h.Age = now.Since(Moment{h.Saved, h.Monotonic, h.Boot})
+	if h.Age < -maxAge || h.Age > maxAge {
+		return Handover{}, fmt.Errorf("handover: %v old, at most %v", h.Age.Round(time.Millisecond), maxAge)
 	}
 	return h, nil
 }
--- a/internal/upgrade/handover_test.go
+++ b/internal/upgrade/handover_test.go
@@ -10,29 +10,43 @@
 	lg "lilacglade"
 )
 
+// later is a moment after so long on the two clocks.
+func (m Moment) later(wall, monotonic time.Duration) Moment {
+	return Moment{m.Wall.Add(wall), m.Monotonic + monotonic, m.Boot}
+}
+
 // TestHandover covers a file cut at every byte, altered anywhere, of another version and too old: none is
 // taken.
 func TestHandover(t *testing.T) {
-	dir, now := t.TempDir(), time.Unix(1e9, 0)
+	dir, now := t.TempDir(), Moment{Wall: time.Unix(1e9, 0), Monotonic: time.Hour, Boot: "x"}
 	if _, err := Load(dir, now); err != ErrNone {
 		t.Errorf("an empty folder: %v", err)
 	}
-	want := Handover{Saved: now, Routes: []byte(`{"generation":3}`), Learned: lg.Learned{Usual: 2}}
+	want := Handover{Routes: []byte(`{"generation":3}`), Learned: lg.Learned{Usual: 2}}
+	want.Stamp(now)
 	if err := Save(dir, want); err != nil {
 		t.Fatal(err)
 	}
 	if left, _ := filepath.Glob(filepath.Join(dir, "*")); len(left) != 1 {
 		t.Errorf("left behind: %v", left)
 	}
-	got, err := Load(dir, now.Add(time.Second))
+	got, err := Load(dir, now.later(time.Second, time.Second))
 	if err != nil || got.Learned.Usual != 2 || !bytes.Equal(got.Routes, want.Routes) {
 		t.Errorf("got %+v, %v", got, err)
 	}
-	for _, at := range []time.Time{now.Add(time.Hour), now.Add(-time.Hour)} {
+	for _, at := range []Moment{now.later(time.Hour, time.Hour), now.later(-time.Hour, -time.Hour),
+		now.later(0, time.Hour), {Wall: now.Wall.Add(time.Hour), Monotonic: time.Hour, Boot: "y"}} {
 		if _, err := Load(dir, at); err == nil {
 			t.Errorf("one of %v was taken at %v", now, at)
 		}
 	}
+	// A step of the wall clock makes none older or younger.
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		got, err := Load(dir, now.later(step, time.Second))
+		if err != nil || got.Age != time.Second {
+			t.Errorf("wall clock stepped by %v: %v old, %v", step, got.Age, err)
+		}
+	}
 	raw, err := os.ReadFile(filepath.Join(dir, fileName))
 	if err != nil {
 		t.Fatal(err)
@@ -55,5 +69,5 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("lilacglade 1 2 00000000\n{}"))
-	f.Fuzz(func(t *testing.T, raw []byte) { _, _ = Parse(raw, time.Unix(1e9, 0)) })
+	f.Fuzz(func(t *testing.T, raw []byte) { _, _ = Parse(raw, Moment{Wall: time.Unix(1e9, 0)}) })
 }
