Put one guard at the sending edge, and count what it finds broken

Change: internal/sendguard (pure) is asked last, in State.forward, by what the reducer knows itself: the server's state, the request's end, a second attempt, a repeat's class, window and group, a list that does not count yet. It refuses what would break a rule, counts it (node_violations in DUMP) and logs INVARIANT; closing a client's connection that is owed an answer and answering after 0.5 s are counted, too. At the sockets: just before an attempt the client's connection is looked at (a client that has closed is an event that the reducer orders before the attempt), and one that was held up for over 0.1 s since it was decided is not written but decided anew (HopUnsent). A check holds that no file of the program measures a span by the wall clock.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,6 +18,7 @@
 
 	lg "lilacglade"
 	"lilacglade/internal/proxystate"
+	"lilacglade/internal/sendguard"
 )
 
 // What one caller, and all together, may take.
@@ -211,6 +212,11 @@
 	for cause, n := range f.Closes {
 		line("client_closes{cause="+strconv.Quote(proxystate.CloseCause(cause).String())+"}", n)
 	}
+	for rule, n := range f.Violations {
+		if rule := sendguard.Rule(rule); rule != sendguard.None {
+			line("violations{rule="+strconv.Quote(rule.String())+"}", n)
+		}
+	}
 	line("discovery_calls{outcome=\"answered\"}", f.Sockets.CallsAnswered)
 	line("discovery_calls{outcome=\"failed\"}", f.Sockets.CallsFailed)
 	line("answers_unwritten", f.Sockets.Unwritten)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -5,14 +5,16 @@
 	"testing"
 
 	"lilacglade/internal/proxystate"
+	"lilacglade/internal/sendguard"
 )
 
 // TestWireNames holds the names and forms that operators' tools read.
 func TestWireNames(t *testing.T) {
 	f := &proxystate.Figures{Ready: true, InProgress: 14, Tries: 5, Known: 12, Skipped: 2,
 		Loads: 3, LoadErrors: 1, Attempts: [8]uint64{811, 1}, Closes: [6]uint64{9, 8, 7, 6, 5, 4},
-		Sockets: proxystate.SocketFigures{CallsAnswered: 31, CallsFailed: 2, Unwritten: 1, ClockSteps: 3},
-		Handled: []proxystate.Handled{{Class: `a"b`, Passed: 812, Dropped: 7, BadGateway: 1}}}
+		Sockets:    proxystate.SocketFigures{CallsAnswered: 31, CallsFailed: 2, Unwritten: 1, ClockSteps: 3},
+		Violations: sendguard.Counts{sendguard.Drained: 2},
+		Handled:    []proxystate.Handled{{Class: `a"b`, Passed: 812, Dropped: 7, BadGateway: 1}}}
 	want := `+OK
 node_handled{category="a\"b",outcome="passed"} 812
 node_handled{category="a\"b",outcome="dropped"} 7
@@ -37,6 +39,13 @@
 node_client_closes{cause="idle"} 6
 node_client_closes{cause="room"} 5
 node_client_closes{cause="maintenance"} 4
+node_violations{rule="drained"} 2
+node_violations{rule="ended"} 0
+node_violations{rule="at_once"} 0
+node_violations{rule="repeated"} 0
+node_violations{rule="overdue"} 0
+node_violations{rule="abandoned"} 0
+node_violations{rule="unconfirmed"} 0
 node_discovery_calls{outcome="answered"} 31
 node_discovery_calls{outcome="failed"} 2
 node_answers_unwritten 1
--- a/internal/checks/checks_test.go
+++ b/internal/checks/checks_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -70,6 +71,64 @@
 	}
 }
 
+// wallClock are expressions that read the wall clock, or have a library compare a moment with it.
+var wallClock = regexp.MustCompile(`\.Unix(Nano|Milli|Micro)?\(\)|time\.Unix(Milli|Micro)?\(|\.Round\(0\)|` +
+	`\.Set(Read|Write)?Deadline\(`)
+
+// wallClockFiles are the files of the program that may have some, and why none of them measures a span by
+// it.
+var wallClockFiles = map[string]string{
+	"internal/legs/observe.go":      "logs that the wall clock was stepped",
+	"internal/legs/raw.go":          "deadlines of the standard library's connections, by its monotonic clock",
+	"internal/legs/flow.go":         "the same",
+	"internal/peers/link.go":        "the same",
+	"cmd/lilacglade/work.go":        "the same",
+	"internal/serverlist/starts.go": "the epoch of start times, which discovery tells in Unix time",
+	"internal/agree/disk.go":        "names of files that are set aside",
+}
+
+// TestNoSpanByTheWallClock guards against what broke on 2026-12-02 (docs/incidents): a span of time that a
+// step of the wall clock moves. The sockets, reducer and module know moments on the monotonic clock alone.
+func TestNoSpanByTheWallClock(t *testing.T) {
+	seen := map[string]bool{}
+	for _, dir := range []string{"internal", "cmd/lilacglade"} {
+		err := filepath.WalkDir(filepath.Join("../..", dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			if d.IsDir() && testOnly[d.Name()] {
+				return fs.SkipDir
+			}
+			if d.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+				return nil
+			}
+			src, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			name := filepath.ToSlash(strings.TrimPrefix(path, "../../"))
+			if found := wallClock.Find(src); found != nil && wallClockFiles[name] == "" {
+				t.Errorf("%s reads the wall clock: %s", name, found)
+			} else if found != nil {
+				seen[name] = true
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name := range wallClockFiles {
+		if !seen[name] {
+			t.Errorf("%s reads no wall clock any more: it needs no exception", name)
+		}
+	}
+}
+
+// testOnly are the packages that are in no release build.
+var testOnly = map[string]bool{"faults": true, "soak": true, "faultlayer": true, "lab": true, "world": true,
+	"workplay": true, "textbook": true, "checks": true}
+
 // check reads the Go files below root and returns what is wrong with them.
 func check(root string) ([]string, error) {
 	var faults []string
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -32,6 +32,8 @@
 	Tamper func(proxy int, e proxystate.Effect) []proxystate.Effect
 	// Deafen tells, for tests of the judge, which events a proxy does not hear.
 	Deafen func(proxy int, ev proxystate.Event) bool
+	// Unguarded has proxies send what breaks a rule, for tests of the judge.
+	Unguarded bool
 	// Progress hears of the virtual time reached, now and then.
 	Progress func(at, of time.Duration)
 	// Clock is the wall's, for Result.Took; nil leaves that out.
@@ -195,8 +197,9 @@
 	callers, hops := budget(s.sc.Proxies.Sockets)
 	n.address = s.world.DiscoveryAddress()
 	n.state, err = proxystate.New(proxystate.Config{Settings: set, Seed: seed, MaxCallers: callers,
-		MaxHops:  hops,
-		IdleHops: s.sc.Servers.KeepAlive / 4, Discovery: n.address, Decider: d, Pool: Pools[s.opt.Pool]})
+		Unguarded: s.opt.Unguarded,
+		MaxHops:   hops,
+		IdleHops:  s.sc.Servers.KeepAlive / 4, Discovery: n.address, Decider: d, Pool: Pools[s.opt.Pool]})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -211,7 +211,7 @@
 		}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			opt := Options{Tamper: tc.tamper, Deafen: tc.deafen}
+			opt := Options{Tamper: tc.tamper, Deafen: tc.deafen, Unguarded: true}
 			if tc.decider != nil {
 				opt.Decider = func(lg.Settings, uint64) (proxystate.Decider, error) {
 					d := *tc.decider
--- a/internal/legs/clock.go
+++ b/internal/legs/clock.go
@@ -6,6 +6,10 @@
 // a time of their own, too.
 const longAgo = 24 * time.Hour
 
+// past is a deadline for the standard library's connections that is over, whatever the wall clock says: a
+// time that carries a reading of the monotonic clock is compared by that.
+func past() time.Time { return time.Now().Add(-time.Second) }
+
 // clock is the proxy's one source of time. It runs on the monotonic clock alone, so that a step of the wall
 // clock changes no deadline, window, wait or grace. A moment on it is a time.Duration, which can't be
 // mistaken for a wall time; what a library wants is made of until, a span, at the last moment.
--- a/internal/legs/crossing_test.go
+++ b/internal/legs/crossing_test.go
@@ -18,8 +18,8 @@
 )
 
 // TestResetIsNoEnd guards against an answer without length that was cut off by a reset and is given to the
-// caller as whole, whoever has read the reset: at once, when it streams, when it is large, on a connection of
-// the library's and on a raw one; to callers who know chunks and to such as know none.
+// caller as whole, whoever has read the reset: at once, when it streams, when it is large, on a connection
+// of the library's and on a raw one; to callers who know chunks and to such as know none.
 func TestResetIsNoEnd(t *testing.T) {
 	server := newParty(t)
 	r := serve(t, known(1, server))
@@ -64,8 +64,8 @@
 	}
 }
 
-// TestLastCallersAreTaken guards against ending while a caller has connected and the reducer's goroutine does
-// not know: here the proxy has let go of its last known caller, and the poller is held up.
+// TestLastCallersAreTaken guards against ending while a caller has connected and the reducer's goroutine
+// does not know: here the proxy has let go of its last known caller, and the poller is held up.
 func TestLastCallersAreTaken(t *testing.T) {
 	server := newParty(t)
 	r := serve(t, known(1, server))
@@ -86,8 +86,8 @@
 	r.end()
 }
 
-// TestAnswerOnAWatchGivenUp guards against losing the news that a watch brought in the moment in which it was
-// given up: they count as told. Not so those of a discovery that was left.
+// TestAnswerOnAWatchGivenUp guards against losing the news that a watch brought in the moment in which it
+// was given up: they count as told. Not so those of a discovery that was left.
 func TestAnswerOnAWatchGivenUp(t *testing.T) {
 	for _, from := range []string{"here", "elsewhere"} {
 		p := &proxy{servers: serverlist.New(nil, nil, time.Now()),
--- a/internal/legs/flow.go
+++ b/internal/legs/flow.go
@@ -89,7 +89,7 @@
 	defer f.mu.Unlock()
 	if f.to == to {
 		f.to = nil
-		_ = f.from.raw.SetReadDeadline(time.Unix(1, 0))
+		_ = f.from.raw.SetReadDeadline(past())
 	}
 	return f.gone
 }
--- a/internal/legs/inbox.go
+++ b/internal/legs/inbox.go
@@ -59,6 +59,8 @@
 		err error
 	}
 	unfit  struct{ leg *leg }
+	unsent struct{ leg *leg } // nothing was written, and the leg is as good as before
+	left   struct{ leg *leg } // a caller has left, whatever of it is still unread
 	broken struct {
 		leg   *leg
 		reset bool // it did not end in good order: what came on it is no whole answer by that
--- a/internal/legs/proxy.go
+++ b/internal/legs/proxy.go
@@ -263,6 +263,11 @@
 			os.ErrDeadlineExceeded)})
 	case unfit:
 		p.step(proxystate.HopUnfit{Leg: item.leg.id})
+	case unsent:
+		item.leg.busy, item.leg.flow = false, nil
+		p.step(proxystate.HopUnsent{Leg: item.leg.id})
+	case left:
+		p.step(proxystate.CallerClosed{Leg: item.leg.id})
 	case broken:
 		p.broke(item.leg, item.reset)
 	case written:
@@ -656,6 +661,11 @@
 				p.inbox.post(unfit{g})
 				return
 			}
+			if client := p.callers[e.Client]; client != nil && client.left() {
+				p.inbox.post(left{client})
+				p.inbox.post(unsent{g})
+				return
+			}
 			g.busy, g.begun, g.early = true, false, 0
 			ms := fmt.Sprint(max(1, (e.At - p.now()).Milliseconds()))
 			if f, ok := e.Payload.(*flow); ok {
--- a/internal/legs/raw.go
+++ b/internal/legs/raw.go
@@ -150,10 +150,10 @@
 
 // unregister has the library's poller look at a connection no more. Guards against a connection that was
 // closed here in the moment in which its handler returned: the library (0.7.2, onProcess) takes it for one
-// that its poller ended, and leaves it registered. To close its descriptor would put that right, but the file
-// lives on in the one that own makes, and what happens on it would be told to the next connection that gets
-// its operator. The library has no call for it, so the operator is read from its field; a second time it does
-// nothing.
+// that its poller ended, and leaves it registered. To close its descriptor would put that right, but the
+// file lives on in the one that own makes, and what happens on it would be told to the next connection that
+// gets its operator. The library has no call for it, so the operator is read from its field; a second time
+// it does nothing.
 func unregister(conn netpoll.Connection) {
 	op := reflect.Indirect(reflect.ValueOf(conn)).FieldByName("operator")
 	if !op.IsValid() || op.Type() != reflect.TypeFor[*netpoll.FDOperator]() {
@@ -229,14 +229,29 @@
 	if err != nil {
 		return true
 	}
-	_ = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		left = err == nil && n > 0
-	})
+	_ = raw.Control(func(fd uintptr) { left = hungUp(int(fd)) })
 	return left
 }
 
+// left tells whether a caller has ended its connection, whatever of it is still unread. The poller tells the
+// same, but later: it is asked just before an attempt is sent.
+func (g *leg) left() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.raw != nil {
+		return rawLeft(g.raw)
+	}
+	c, ok := g.conn.(netpoll.Conn)
+	return !ok || !g.gone && hungUp(c.Fd())
+}
+
+// hungUp tells whether the other side of a connection has ended it.
+func hungUp(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
+
 // rawQuiet tells whether a raw connection is open and nothing has come on it. It stands apart so that
 // the byte that it looks at is on the heap for raw legs only.
 func rawQuiet(conn net.Conn) bool {
@@ -253,7 +268,7 @@
 // hush ends a pull that waits: it brings what it has, perhaps nothing.
 func (g *leg) hush() {
 	if g.pulling {
-		_ = g.raw.SetReadDeadline(time.Unix(1, 0))
+		_ = g.raw.SetReadDeadline(past())
 	}
 }
 
--- a/internal/legs/work.go
+++ b/internal/legs/work.go
@@ -36,18 +36,26 @@
 // errBeginsLate says that an attempt was not begun since its time was over.
 var errBeginsLate = errors.New("too late to begin")
 
-// late is asked just before a request is written, nil where its time does not matter. Guards against a
-// process that was paused there: the machine may be out by now, so nothing is written, and said is posted.
+// heldFor is how long after it was decided an attempt may begin. Its client may leave, its server begin to
+// drain, and the deadline that it tells run out in that time, which the rules allow for; not in more.
+const heldFor = 100 * time.Millisecond
+
+// late is asked just before a request is written. Guards against a process that was held up there: the time
+// for the attempt may be over, or the machine out by now, so nothing is written, and said is posted; or it
+// is to be decided anew.
 func (p *proxy) late(e proxystate.Effect, said written) func() bool {
-	if e.Begin <= 0 {
-		return nil
-	}
+	decided := p.now()
 	return func() bool {
-		if p.now() < e.Begin {
+		now := p.now()
+		switch {
+		case e.Begin > 0 && now >= e.Begin, now >= e.At:
+			said.err = errBeginsLate
+			p.inbox.post(said)
+		case now-decided > heldFor:
+			p.inbox.post(unsent{said.leg})
+		default:
 			return false
 		}
-		said.err = errBeginsLate
-		p.inbox.post(said)
 		return true
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -75,6 +75,9 @@
 	uses   int
 }
 
+// State is what the server list says of the next hop.
+func (h *Hop[T]) State() lg.State { return h.state }
+
 // Opening tells whether it has not come up yet.
 func (l *Leg[T]) Opening() bool { return l.phase == opening }
 
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -168,6 +168,7 @@
 	if s.cfg.Trace != nil {
 		s.trace("F %d %s", r.id, verdicts[e.Verdict])
 	}
+	s.checkAnswer(r)
 	c := r.caller
 	s.ended(r.count, e.Verdict)
 	e.Last = e.Last || r.stream && r.whole == 0 // what still comes of it is no request
@@ -231,6 +232,7 @@
 
 // part ends sending on a leg.
 func (s *State) part(c *caller, cause CloseCause) {
+	s.checkClose(c, cause)
 	s.countClose(c, cause)
 	s.phase(c, callerParting)
 	s.parting++
@@ -243,6 +245,7 @@
 }
 
 func (s *State) closeCaller(c *caller, cause CloseCause) {
+	s.checkClose(c, cause)
 	s.countClose(c, cause)
 	s.do(Effect{Do: CloseCaller, Leg: c.id})
 	s.callerClosed(c.id)
--- a/internal/proxystate/events.go
+++ b/internal/proxystate/events.go
@@ -128,6 +128,10 @@
 // nobody had asked for came on the leg, or its end.
 type HopUnfit struct{ Leg LegID }
 
+// HopUnsent says instead of HopWritten that nothing was written, since the request's client has left or too
+// much time has passed since it was decided. The leg is as good as before.
+type HopUnsent struct{ Leg LegID }
+
 // HopStray says that something came on a leg that owes no answer.
 type HopStray struct{ Leg LegID }
 
@@ -182,6 +186,7 @@
 func (HopWritten) event()     {}
 func (HopAnswered) event()    {}
 func (HopUnfit) event()       {}
+func (HopUnsent) event()      {}
 func (HopStray) event()       {}
 func (HopClosed) event()      {}
 func (ListTold) event()       {}
@@ -243,6 +248,7 @@
 type Effect struct {
 	Do      Do
 	Leg     LegID
+	Client  LegID // Forward: the caller leg whose request it is
 	Server  lg.ServerID
 	At      time.Duration
 	Verdict Verdict
--- a/internal/proxystate/figures.go
+++ b/internal/proxystate/figures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lg "lilacglade"
+	"lilacglade/internal/sendguard"
 )
 
 // publishEvery is the least time between two publications of the figures, unless readiness changes.
@@ -20,6 +21,7 @@
 	Loads, LoadErrors uint64
 	Attempts          [attemptResults]uint64 // that ended, by lg.Result
 	Closes            [closeCauses]uint64    // of client connections, by CloseCause
+	Violations        sendguard.Counts       // of the rules at the edge; any is a fault of the program
 	Sockets           SocketFigures
 	Rooms             []lg.Room     // what was measured of the next hops; nil where proxies settle nothing
 	Hot               []lg.ServerID // next hops where a hot key is sent to
@@ -118,7 +120,7 @@
 	known, draining := s.pool.Listed()
 	f := &Figures{Ready: s.counts.ready, InProgress: s.counts.open, Tries: s.counts.tries, Known: known,
 		Skipped: draining, Loads: s.counts.loads, LoadErrors: s.counts.loadFails,
-		Attempts: s.counts.attempts, Closes: s.counts.closes}
+		Attempts: s.counts.attempts, Closes: s.counts.closes, Violations: s.broken}
 	if m, ok := s.bal.(interface{ Skipped() int }); ok {
 		f.Skipped += m.Skipped()
 	}
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -5,6 +5,7 @@
 
 	lg "lilacglade"
 	"lilacglade/internal/pool"
+	"lilacglade/internal/sendguard"
 )
 
 // send starts a branch.
@@ -116,12 +117,19 @@
 		s.end(b, lg.ConnectFailed, lg.LoadReport{})
 		return
 	}
+	if rule := sendguard.Check(s.attempt(b)); rule != sendguard.None && !s.cfg.Unguarded {
+		s.violated(rule, b.req)
+		s.pool.Unused(s.now, l.Leg)
+		s.end(b, lg.Moot, lg.LoadReport{})
+		return
+	}
 	l.phase, l.branch, b.leg = hopWriting, b, l
 	at := b.until
 	if r := b.req; r.stream && r.whole == 0 {
 		at = s.now + r.may // counted from its last byte: as long as an answer may take
 	}
-	e := Effect{Do: Forward, Leg: LegID(l.ID), Payload: b.req.payload, At: at, Begin: b.begin}
+	e := Effect{Do: Forward, Leg: LegID(l.ID), Client: b.req.caller.id, Payload: b.req.payload, At: at,
+		Begin: b.begin}
 	if s.work != nil {
 		if until := s.work.set.Until(l.Hop.ID); until > 0 && (e.Begin == 0 || until < e.Begin) {
 			e.Begin = until
@@ -171,7 +179,10 @@
 			since = s.now
 		}
 	}
-	r.mayRun = r.mayRun || !res.NeverRan()
+	if !res.NeverRan() && !r.mayRun {
+		r.mayRun = true
+		r.ran = sendguard.Ran{At: b.sent, Place: s.places[b.hop.ID]}
+	}
 	r.late = r.late || res == lg.TimedOut
 	s.tell(lg.Outcome{Request: r.id, Attempt: b.number, Server: b.hop.ID, Result: res, Closed: r.done,
 		Latency: s.now - since, Load: load, Gone: r.gone})
@@ -208,15 +219,22 @@
 	s.pooled()
 }
 
-// unfit drops a leg on which nothing could be written; its branch gets another.
-func (s *State) unfit(id LegID) {
+// unsent takes back an attempt of which nothing was written, on a leg that is as good as before: its client
+// had left, or too much time had passed since it was decided. It is decided anew.
+func (s *State) unsent(id LegID) {
 	l := s.legs[id]
 	if l == nil || l.phase != hopWriting {
 		return
 	}
 	b := l.branch
-	l.branch = nil
-	s.drop(l)
+	l.phase, l.branch = hopPooled, nil
+	s.pool.Unused(s.now, l.Leg)
+	s.pooled()
+	s.reassign(b)
+}
+
+// reassign has an attempt of which nothing was written get another leg, if its request still wants it.
+func (s *State) reassign(b *branch) {
 	if b == nil {
 		return
 	}
@@ -228,6 +246,18 @@
 	s.assign(b)
 }
 
+// unfit drops a leg on which nothing could be written; its branch gets another.
+func (s *State) unfit(id LegID) {
+	l := s.legs[id]
+	if l == nil || l.phase != hopWriting {
+		return
+	}
+	b := l.branch
+	l.branch = nil
+	s.drop(l)
+	s.reassign(b)
+}
+
 func (s *State) hopWritten(ev HopWritten) {
 	l := s.legs[ev.Leg]
 	if l != nil && l.phase == hopStreaming && ev.OK {
--- a/internal/proxystate/list.go
+++ b/internal/proxystate/list.go
@@ -75,11 +75,13 @@
 	named := map[lg.ServerID]bool{}
 	for _, l := range list.Servers {
 		named[l.ID] = true
+		s.place(l)
 		s.pool.Told(l.ID, l.State)
 	}
 	if list.Kind != lg.Changes {
 		for _, h := range s.pool.Hops() {
 			if !named[h.ID] {
+				delete(s.places, h.ID)
 				s.pool.Told(h.ID, lg.Gone)
 			}
 		}
@@ -93,9 +95,9 @@
 }
 
 // again tells whether a call that failed is made again here, and has it made. The Balancer, whose next call
-// comes late where there are many proxies, only hears of what fails twice. A watch that broke is opened anew,
-// in this proxy's turn as far as a list's cost is known. Where lists are pushed, the next one must come
-// within the drain's grace of discovery's return, and a call costs the others nothing.
+// comes late where there are many proxies, only hears of what fails twice. A watch that broke is opened
+// anew, in this proxy's turn as far as a list's cost is known. Where lists are pushed, the next one must
+// come within the drain's grace of discovery's return, and a call costs the others nothing.
 func (s *State) again() bool {
 	l := &s.list
 	l.misses++
@@ -157,8 +159,8 @@
 
 // wait is how long the next watch may wait. Guards against all proxies' calls in step, for more than
 // discovery can work through at once: those that began together, at a start or when there was news, end one
-// after the other, spread over the time between two calls. A quiet one is followed by a whole one: the spread
-// stays.
+// after the other, spread over the time between two calls. A quiet one is followed by a whole one: the
+// spread stays.
 func (s *State) wait() time.Duration {
 	every := s.askEvery()
 	if s.pushed() || s.list.spread {
--- a/internal/proxystate/list_test.go
+++ b/internal/proxystate/list_test.go
@@ -212,7 +212,8 @@
 }
 
 // TestPushedListCountsFromTheStart guards against sending by a list from before where lists are pushed: what
-// discovery has counts as told from a process's first moment. Where it does not answer, what is known counts.
+// discovery has counts as told from a process's first moment. Where it does not answer, what is known
+// counts.
 func TestPushedListCountsFromTheStart(t *testing.T) {
 	for _, answers := range []bool{true, false} {
 		l := newLister(t, func(cfg *Config) {
--- a/internal/proxystate/model_test.go
+++ b/internal/proxystate/model_test.go
@@ -404,7 +404,11 @@
 			h := m.hops[id]
 			if rng.IntN(6) == 0 { // nothing could be written on it
 				h.busy.out, h.busy = false, nil
-				m.step(HopUnfit{id})
+				if rng.IntN(2) == 0 { // or was held up for too long
+					m.step(HopUnsent{id})
+				} else {
+					m.step(HopUnfit{id})
+				}
 				break
 			}
 			gone := h.busy.stream && rng.IntN(2) == 0
@@ -483,6 +487,9 @@
 		for range 20 {
 			m.random(rng)
 		}
+		if v := m.s.Violations(); v.Total() > 0 {
+			m.t.Fatalf("violations %v", v)
+		}
 		for _, c := range m.calls { // the sockets bound how long a request may come in
 			if c.stream && !c.whole && c.answers == 0 && !c.left {
 				m.step(CallerSpoilt{Leg: c.leg, Slow: true})
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -7,6 +7,7 @@
 
 	lg "lilacglade"
 	"lilacglade/internal/pool"
+	"lilacglade/internal/sendguard"
 )
 
 // Times of the mechanism itself.
@@ -41,6 +42,8 @@
 	Confirm time.Duration
 	// Overlap: another process of this proxy holds its part of the hop legs until then; 0: there is none
 	Overlap time.Duration
+	// Unguarded: attempts are sent whatever rule they break, for tests of the lab's judge
+	Unguarded bool
 	// Work: machines are taken out for work by what Settled tells; nothing is sent before it told of a lease
 	Work bool
 }
@@ -74,6 +77,8 @@
 	telling  bool // whoever has come by now is being told
 	allTold  bool // and was, in this step
 	counts   counts
+	places   map[lg.ServerID]sendguard.Place
+	broken   sendguard.Counts
 	work     *work // nil: no machine is taken out by what proxies settle
 }
 
@@ -116,9 +121,10 @@
 	reachBy  time.Duration // a next hop should have it whole by then
 	reached  bool          // one had it whole
 	payload  any
-	branch   *branch       // the one that is out
-	sent     int           // branches so far
-	mayRun   bool          // a branch may have run
+	branch   *branch // the one that is out
+	sent     int     // branches so far
+	mayRun   bool    // a branch may have run: this one
+	ran      sendguard.Ran
 	late     bool          // a branch has timed out
 	stream   bool          // it is passed on as it comes in,
 	may      time.Duration // and its time counts from its last byte,
@@ -170,7 +176,7 @@
 		bal = module
 	}
 	s := &State{cfg: cfg, bal: bal, callers: map[LegID]*caller{}, requests: map[lg.RequestID]*request{},
-		names: map[string]bool{}, legs: map[LegID]*hopLeg{}}
+		names: map[string]bool{}, legs: map[LegID]*hopLeg{}, places: map[lg.ServerID]sendguard.Place{}}
 	cfg.Pool.Most, cfg.Pool.Idle = cfg.MaxHops, cfg.IdleHops
 	s.pool = pool.New[*branch](cfg.Pool)
 	s.clock.add(0, s.sweep)
@@ -296,6 +302,8 @@
 		s.hopWritten(ev)
 	case HopUnfit:
 		s.unfit(ev.Leg)
+	case HopUnsent:
+		s.unsent(ev.Leg)
 	case HopStray:
 		if l := s.legs[ev.Leg]; l != nil && l.Idle() {
 			s.drop(l)
--- a/internal/proxystate/work.go
+++ b/internal/proxystate/work.go
@@ -93,8 +93,8 @@
 // outgoing tells whether this proxy's own machine is to go out.
 func (s *State) outgoing() bool { return s.work != nil && s.work.own > 0 }
 
-// emptying lets go of idle callers while the proxy's own machine is to go out: each answer is its leg's last,
-// and who asks for readiness is told to go elsewhere.
+// emptying lets go of idle callers while the proxy's own machine is to go out: each answer is its leg's
+// last, and who asks for readiness is told to go elsewhere.
 func (s *State) emptying() {
 	if !s.outgoing() {
 		return
