--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -257,11 +257,14 @@
 // frontLate is how long a front goes on opening connections to a process that was told to end.
 const frontLate = 300 * time.Millisecond
 
+// killSlack is how long after it was sent SIGKILL a process may still take connections.
+const killSlack = 50 * time.Millisecond
+
 // killedSince tells whether the process was killed after a moment.
 func (p *Process) killedSince(t time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.killed.After(t)
+	return p.killed.After(t.Add(-killSlack))
 }
 
 // AwaitReady waits until the process serves.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -189,7 +189,8 @@
 		r.Port = serverPort
 	case 4:
 		// The whole process is held up by it, so it happens once or twice.
-		r.Action, r.For, r.Times = faultlayer.Delay, between(rng, time.Millisecond, 120*time.Millisecond), 1+rng.IntN(2)
+		r.Action, r.For = faultlayer.Delay, between(rng, time.Millisecond, 120*time.Millisecond)
+		r.Times = 1 + rng.IntN(2)
 	}
 	return r
 }
