Keep a voter's disk through writes and syncs that fail for a while

A disk that was opened again while it was full or gave EIO counted as damaged: it was renamed aside and the voter went on under a new identity, without its vote and log. And what a failed sync had left in the page cache was taken for durable.

Change: an error that may pass (ENOSPC, EIO, EDQUOT, EROFS, EMFILE and the like) never sets a file aside; after a write that failed the file is written anew beside, synced, renamed and the folder synced before anything in it counts.

Open: a process that starts while its disk fails still refuses to start with peers.

--- a/internal/agree/disk.go
+++ b/internal/agree/disk.go
@@ -61,6 +61,9 @@
 	if err != nil && errors.Is(err, bbolt.ErrTimeout) {
 		return nil, fmt.Errorf("%s: another process has it open", path)
 	}
+	if err != nil && passing(err) {
+		return nil, fmt.Errorf("%s: %w", path, err) // what it holds is still owed: it is not set aside
+	}
 	if err != nil && fresh == "" {
 		fresh = err.Error()
 		aside := fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano())
@@ -107,7 +110,7 @@
 	}); err != nil {
 		return nil, err
 	}
-	return d, db.Update(func(tx *bbolt.Tx) error {
+	err = db.Update(func(tx *bbolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
 		if err != nil {
 			return err
@@ -126,6 +129,7 @@
 		d.Note = slices.Clone(meta.Get(keyNote))
 		return d.load(meta, entries)
 	})
+	return d, err
 }
 
 // load reads what is saved of the log.
@@ -205,7 +209,7 @@
 // Again closes the file and opens it as it is, after a write that failed.
 func (d *Disk) Again() (*Disk, error) {
 	_ = d.db.Close()
-	return OpenDisk(filepath.Dir(d.path))
+	return ReopenDisk(filepath.Dir(d.path))
 }
 
 // Renew sets the file aside and begins anew, under a new identity.
--- /dev/null
+++ b/internal/agree/recover.go
@@ -0,0 +1,93 @@
+package agree
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"go.etcd.io/bbolt"
+)
+
+// passing tells whether a file could not be used for a reason that may pass: nothing is wrong with what it
+// holds.
+func passing(err error) bool {
+	for _, no := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS,
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN, syscall.EACCES,
+		syscall.EPERM, syscall.EFBIG} {
+		if errors.Is(err, no) {
+			return true
+		}
+	}
+	return errors.Is(err, bbolt.ErrTimeout)
+}
+
+// ReopenDisk opens the file in a folder after a write or sync of it has failed. The kernel may have dropped
+// what it could not write, and take what it still shows for written: so all of it is written anew, beside,
+// and is durable before it counts.
+func ReopenDisk(dir string) (*Disk, error) {
+	path := filepath.Join(dir, diskFile)
+	if err := rewrite(path); err != nil {
+		return nil, err
+	}
+	return OpenDisk(dir)
+}
+
+// rewrite puts a copy of a file in its place. A file that is not there, or is damaged, is left as it is:
+// OpenDisk says what becomes of it.
+func rewrite(path string) (err error) {
+	if err := rigFull(path); err != nil {
+		return err
+	}
+	fresh := path + ".rewritten"
+	if err := copyDisk(path, fresh); err != nil {
+		if passing(err) {
+			return err
+		}
+		if !errors.Is(err, os.ErrNotExist) {
+			log.Printf("the file can't be written anew: %v", err)
+		}
+		return nil
+	}
+	if err := os.Rename(fresh, path); err != nil {
+		return err
+	}
+	return syncDir(filepath.Dir(path))
+}
+
+// copyDisk copies a file that the library can read through, and syncs the copy.
+func copyDisk(from, to string) (err error) {
+	if _, err := os.Stat(from); err != nil {
+		return err
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("damaged: %v", r)
+		}
+	}()
+	db, err := bbolt.Open(from, 0o600, &bbolt.Options{Timeout: lockFor, ReadOnly: true})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, db.Close()) }()
+	out, err := os.OpenFile(to, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	err = db.View(func(tx *bbolt.Tx) error {
+		_, err := tx.WriteTo(out)
+		return err
+	})
+	return errors.Join(err, out.Sync(), out.Close())
+}
+
+// syncDir makes a rename in a folder durable.
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -181,7 +181,7 @@
 		return
 	}
 	n.retryAt = time.Now().Add(retryDisk)
-	disk, err := agree.OpenDisk(n.cfg.Dir)
+	disk, err := agree.ReopenDisk(n.cfg.Dir)
 	if err != nil {
 		return
 	}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -191,7 +191,11 @@
 		if rested && !again {
 			return false
 		}
-		j.unsent(r, c.proc, time.Now())
+		if again {
+			j.unmetAgain(r, time.Now())
+		} else {
+			j.unmet()
+		}
 		return true
 	}
 	sent := time.Now()
@@ -207,7 +211,7 @@
 	if _, err := conn.r.Peek(1); err != nil {
 		if timeout, ok := err.(net.Error); rested && !again && !(ok && timeout.Timeout()) && !j.hasLeft(r) {
 			conn.Close()
-			j.resent(r, time.Now())
+			j.resent(r, c.proc, time.Now())
 			return false
 		}
 		conn.Close()
