Outlive the reader of the log, and send nothing for a client whose connection is gone

The look at a client's connection just before an attempt took one that the library had closed already for open: its end was on its way to the reducer, the attempt was sent all the same.

--- a/cmd/lilacglade/main.go
+++ b/cmd/lilacglade/main.go
@@ -93,6 +93,7 @@
 		fmt.Fprintf(out, "%s can be served on %s\n", node.Name, node.Listen)
 		return nil
 	}
+	signal.Ignore(syscall.SIGPIPE) // a reader of the log that has gone must not end the program
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if *trace {
--- a/internal/legs/crossing_test.go
+++ b/internal/legs/crossing_test.go
@@ -251,3 +251,25 @@
 		t.Error("what came after the end was sent on")
 	}
 }
+
+// TestClientThatLeftGetsNoAttempt holds that no attempt begins for a client whose end the kernel has and the
+// reducer has not heard of: here the end crosses the coming up of the connection that its request waits for.
+func TestClientThatLeftGetsNoAttempt(t *testing.T) {
+	g, other := hop(t)
+	g.caller = true
+	if g.left() {
+		t.Error("left while it was there")
+	}
+	if err := other.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(far); !g.left(); {
+		if time.Now().After(end) {
+			t.Fatal("its end was never seen")
+		}
+	}
+	g.close()
+	if !g.left() {
+		t.Error("there though it was closed here")
+	}
+}
--- a/internal/legs/raw.go
+++ b/internal/legs/raw.go
@@ -242,7 +242,7 @@
 		return rawLeft(g.raw)
 	}
 	c, ok := g.conn.(netpoll.Conn)
-	return !ok || !g.gone && hungUp(c.Fd())
+	return !ok || g.gone || hungUp(c.Fd())
 }
 
 // hungUp tells whether the other side of a connection has ended it.
