--- a/internal/legs/effects.go
+++ b/internal/legs/effects.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// forward has a request written to a server, unless that can't be done well any more: then the reducer hears of
-// it, in the order of events.
+// forward has a request written to a server, unless that can't be done well any more: then the reducer hears
+// of it, in the order of events.
 func (p *proxy) forward(g *leg, e proxystate.Effect) {
 	if !g.fit() {
 		p.inbox.post(unfit{g})
