--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -449,8 +449,9 @@
 	return since, off
 }
 
-// Parts of the requests that are served once no fault is left: of the fleet's, and of each process's. Servers
-// that have come back cold take little at first, so that one process with few requests may refuse several.
+// Parts of the requests that are served once no fault is left: of the fleet's, and of each process's.
+// Servers that have come back cold take little at first, so that one process with few requests may refuse
+// several.
 const (
 	fleetServed   = 0.9
 	processServed = 0.6
