--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -68,12 +69,17 @@
 	return nil
 }
 
-// quiet hides from the poller what went wrong with one connection: the door stays open.
+// quiet hides from the poller what went wrong with one connection, or for the moment: the door stays open,
+// and the poller, which serves everybody else, too, neither spins nor rests for long.
 type quiet struct{ netpoll.Listener }
 
+// acceptPause is waited after an accept that failed, before the poller tries again.
+const acceptPause = time.Millisecond
+
 func (l quiet) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == syscall.ECONNABORTED || err == syscall.EINTR {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		time.Sleep(acceptPause)
 		return nil, nil
 	}
 	return conn, err
--- a/internal/legs/observe.go
+++ b/internal/legs/observe.go
@@ -32,7 +32,8 @@
 	clockDue  time.Duration
 	unwritten logburst.Limiter
 	calls     logburst.Limiter
-	lastFault string // of the last call to discovery; empty: it was answered
+	wrong     time.Duration // what was logged last of the wall clock at the start
+	lastFault string        // of the last call to discovery; empty: it was answered
 }
 
 func newObserver() observer {
@@ -105,6 +106,11 @@
 
 // logChanges logs what the server list that came last has changed.
 func (p *proxy) logChanges() {
+	if wrong := p.servers.ClockError(); (wrong - p.observed.wrong).Abs() >= wallclock.Threshold {
+		p.observed.wrong = wrong
+		log.Printf("the wall clock was wrong by about %v when this process started, as servers' start times tell: "+
+			"servers are taken for younger rather than older", wrong.Round(time.Second))
+	}
 	changes := p.servers.Changes()
 	if len(changes) == 0 {
 		return
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -47,6 +47,10 @@
 // Epoch is the Unix time at which the proxy's clock read 0, as far as is known.
 func (s *Set) Epoch() time.Duration { return s.starts.epoch() }
 
+// ClockError is by how much the wall clock was wrong when the process started, as far as discovery's start
+// times tell; 0: nothing speaks against it.
+func (s *Set) ClockError() time.Duration { return s.starts.wall - s.starts.epoch() }
+
 // SetEpoch has it be what another process on this machine knew, in place of what the wall clock said.
 func (s *Set) SetEpoch(epoch time.Duration) { s.starts.wall = epoch }
 
