Remember where a server stands when an attempt is sent, not when it ends

Seen in the last reading of the change: a server that is listed no more while an attempt is out has no place when the attempt ends, so the guard would have taken a keyed repeat in its zone for one in another, refused it and counted it.

--- a/internal/proxystate/guard.go
+++ b/internal/proxystate/guard.go
@@ -25,7 +25,7 @@
 // attempt is what the guard asks of a branch that is about to be written.
 func (s *State) attempt(b *branch) sendguard.Attempt {
 	r := b.req
-	a := sendguard.Attempt{Now: s.now, State: b.hop.State(), Place: s.places[b.hop.ID],
+	a := sendguard.Attempt{Now: s.now, State: b.hop.State(), Place: b.place,
 		Class: s.cfg.Settings.Classes[r.class], Ended: r.done || r.caller == nil, AtOnce: r.branch != b,
 		Unconfirmed: s.pushed() && !s.list.confirmed && s.now < s.cfg.Confirm}
 	if r.mayRun {
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -18,6 +18,7 @@
 	if a.Within > 0 {
 		b.begin = s.now + a.Within
 	}
+	b.place = s.places[a.Server]
 	r.sent++
 	r.branch = b
 	if s.work != nil && r.key != 0 {
@@ -185,7 +186,7 @@
 	}
 	if !res.NeverRan() && !r.mayRun {
 		r.mayRun = true
-		r.ran = sendguard.Ran{At: b.sent, Place: s.places[b.hop.ID]}
+		r.ran = sendguard.Ran{At: b.sent, Place: b.place}
 	}
 	r.late = r.late || res == lg.TimedOut
 	s.tell(lg.Outcome{Request: r.id, Attempt: b.number, Server: b.hop.ID, Result: res, Closed: r.done,
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -141,8 +141,9 @@
 	hop    *pool.Hop[*branch]
 	sent   time.Duration
 	until  time.Duration
-	begin  time.Duration // its first byte must not be written later; 0: no matter
-	leg    *hopLeg       // nil while it waits for one
+	begin  time.Duration   // its first byte must not be written later; 0: no matter
+	leg    *hopLeg         // nil while it waits for one
+	place  sendguard.Place // of its server, as it was when it was sent
 }
 
 // hopPhase is where a hop leg stands beyond what the pool knows.
