--- a/internal/legs/observe.go
+++ b/internal/legs/observe.go
@@ -67,8 +67,8 @@
 	changed := err.Error() != o.lastFault
 	o.lastFault = err.Error()
 	if more, ok := o.calls.Allow(now); ok || changed {
-		log.Printf("discovery: call %d to %s failed after %v: %v (%d more since the last line)", d.call,
-			d.from.address, rounded(d.took), err, more)
+		log.Printf("discovery: %v (call %d to %s, after %v; %d more since the last line)", err, d.call,
+			d.from.address, rounded(d.took), more)
 	}
 }
 
