Write without copying the slices first; one way to tell a soak's violations

On the hot path each write copied its list of slices, which only a short write needs; a counter of failed accepts was kept and shown nowhere; the soak's tests told violations in two places, and lilalab soak built its library twice to shrink. All simpler now, behaviour as before.

--- a/cmd/lilalab/soak.go
+++ b/cmd/lilalab/soak.go
@@ -18,12 +18,13 @@
 
 // soaking is what a soak is asked for.
 type soaking struct {
-	seed               uint64
-	seeds, jobs        int
-	proxies, servers   int
-	every, faults      time.Duration
-	rate               float64
-	shrink, log, again bool
+	seed             uint64
+	seeds, jobs      int
+	proxies, servers int
+	every, faults    time.Duration
+	rate             float64
+	shrink, log      bool
+	shrunk           bool // one schedule was shrunk already
 }
 
 // soakCommand plays schedules of random faults on fleets of real processes.
@@ -76,7 +77,7 @@
 				add(&total, report)
 				if err != nil {
 					failed++
-					s.tell(out, seed, report, log, err)
+					s.tell(ctx, out, library, seed, report, log, err)
 				}
 				mu.Unlock()
 			}
@@ -124,7 +125,9 @@
 // mostTold bounds the violations of one schedule that are printed.
 const mostTold = 12
 
-func (s *soaking) tell(out io.Writer, seed uint64, report soak.Report, log string, err error) {
+// tell prints what came of a schedule that failed, and shrinks the first one if so asked.
+func (s *soaking) tell(ctx context.Context, out io.Writer, library string, seed uint64, report soak.Report,
+	log string, err error) {
 	fmt.Fprintf(out, "seed %d: %v\n", seed, err)
 	for _, v := range report.Violations[:min(len(report.Violations), mostTold)] {
 		fmt.Fprintln(out, "  ", v)
@@ -132,23 +135,12 @@
 	if s.log {
 		fmt.Fprint(out, log)
 	}
-	if !s.shrink || s.again {
-		return
-	}
-	s.again = true
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		fmt.Fprintln(out, err)
-		return
-	}
-	defer os.RemoveAll(dir)
-	library, err := faultlayer.Build(dir)
-	if err != nil {
-		fmt.Fprintln(out, err)
+	if !s.shrink || s.shrunk {
 		return
 	}
+	s.shrunk = true
 	least := soak.Shrink(s.draw(seed), func(less soak.Schedule) bool {
-		_, _, err := s.play(context.Background(), library, seed, less)
+		_, _, err := s.play(ctx, library, seed, less)
 		return err != nil
 	})
 	fmt.Fprintf(out, "seed %d still fails with these alone:\n%s\n", seed, least)
--- a/internal/legs/listener.go
+++ b/internal/legs/listener.go
@@ -25,8 +25,7 @@
 	netpoll.Listener
 	open, most atomic.Int64
 	took       atomic.Int64
-	faults     atomic.Uint64 // accepts that failed
-	closed     atomic.Bool   // nothing more is taken; the socket itself stays as it is
+	closed     atomic.Bool // nothing more is taken; the socket itself stays as it is
 
 	// Of the poller's goroutine.
 	failing time.Time // when accepting began to fail of what still waits to be taken; zero: nothing does
@@ -86,7 +85,6 @@
 
 // failed takes in an accept that failed.
 func (l *listener) failed(err error) {
-	l.faults.Add(1)
 	now := time.Now()
 	if l.failing.IsZero() {
 		l.failing = now
--- a/internal/legs/transfer.go
+++ b/internal/legs/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime"
+	"slices"
 	"syscall"
 	"time"
 	"unsafe"
@@ -26,9 +27,8 @@
 		return errOverdue
 	}
 	by := time.Now().Add(within)
-	rest := append([][]byte(nil), bufs...)
 	for pause := firstRetry; ; pause = min(2*pause, mostRetry) {
-		err := g.sendOnce(&rest, by)
+		err := g.sendOnce(&bufs, by)
 		if err == nil || !transient.Transfer(err) || time.Now().Add(pause).After(by) {
 			return err
 		}
@@ -122,14 +122,14 @@
 	return int(n), nil
 }
 
-// without is slices less their first bytes.
+// without is slices less their first bytes. It leaves the given ones as they are.
 func without(bufs [][]byte, n int) [][]byte {
 	for len(bufs) > 0 && n >= len(bufs[0]) {
 		n -= len(bufs[0])
 		bufs = bufs[1:]
 	}
-	if len(bufs) > 0 {
-		bufs[0] = bufs[0][n:]
+	if n > 0 {
+		bufs = slices.Concat([][]byte{bufs[0][n:]}, bufs[1:])
 	}
 	return bufs
 }
@@ -153,7 +153,7 @@
 	if err := raw.SetWriteDeadline(by); err != nil {
 		return err
 	}
-	all := net.Buffers(*rest)
+	all := net.Buffers(slices.Clone(*rest)) // what it has written it takes out of them
 	_, err := all.WriteTo(raw)
 	*rest = all
 	return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,27 +49,36 @@
 	return f
 }
 
-// finish ends a fleet and fails the test by what the judge found.
-func finish(t *testing.T, f *Fleet) Report {
+// mostTold bounds the violations of one run that a test prints.
+const mostTold = 20
+
+// tell fails the test by what the judge found, and logs the rest of a report.
+func tell(t *testing.T, report Report) {
 	t.Helper()
-	report, err := f.Finish()
-	if err != nil {
-		t.Error(err)
-	}
 	for i, v := range report.Violations {
-		if i == 20 {
+		if i == mostTold {
 			t.Errorf("%d more", len(report.Violations)-i)
 			break
 		}
 		t.Error(v)
 	}
+	report.Violations = nil
+	t.Logf("%+v", report)
+}
+
+// finish ends a fleet and fails the test by what the judge found.
+func finish(t *testing.T, f *Fleet) Report {
+	t.Helper()
+	report, err := f.Finish()
+	if err != nil {
+		t.Error(err)
+	}
+	tell(t, report)
 	if t.Failed() {
 		for i := range f.processes {
 			t.Logf("log of n%d:\n%s", i, f.Log(i))
 		}
 	}
-	report.Violations = nil
-	t.Logf("%+v", report)
 	if report.Served < report.Asked/2 {
 		t.Errorf("served %d of %d", report.Served, report.Asked)
 	}
@@ -101,7 +110,7 @@
 	}
 }
 
-// soakSeconds is how long the faults of one random run last.
+// soakFor is how long the faults of one random run last.
 const soakFor = 8 * time.Second
 
 // TestRandomFaults plays schedules that are drawn from seeds: the same ones each time. lilalab soak plays
@@ -123,13 +132,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i, v := range report.Violations {
-		if i == 30 {
-			t.Errorf("%d more", len(report.Violations)-i)
-			break
-		}
-		t.Error(v)
-	}
-	report.Violations = nil
-	t.Logf("%+v", report)
+	tell(t, report)
 }
