Log each failed call for the server list with the pause that follows it

Change: a line for each failed call (number, duration, when the next one is due, how long ago the list was heard; one a second at most); a trace's S line has the age of the list. TestListLog holds the line. Checked: internal/proxystate, internal/listcalls and internal/checks pass.

--- a/internal/listcalls/listcalls.go
+++ b/internal/listcalls/listcalls.go
@@ -109,6 +109,9 @@
 // Out tells whether a call is out.
 func (s *Schedule) Out() bool { return s.out }
 
+// Number is the number of the call that is out, or was last.
+func (s *Schedule) Number() int { return s.number }
+
 // Know says whether the next call may wait for what changes: a version is known.
 func (s *Schedule) Know(version bool) { s.known = version }
 
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -25,7 +25,8 @@
 		s.work.keys.Sent(s.now, r.key, a.Server)
 	}
 	if s.cfg.Trace != nil {
-		s.trace("S %d.%d %x class %d", r.id, b.number, uint64(a.Server), r.class)
+		s.trace("S %d.%d %x class %d heard %d", r.id, b.number, uint64(a.Server), r.class,
+			s.list.age(s.now).Milliseconds())
 	}
 	if b.until < r.deadline {
 		s.clock.add(b.until, func() {
--- a/internal/proxystate/list.go
+++ b/internal/proxystate/list.go
@@ -80,7 +80,9 @@
 	case ev.List.Kind == lg.ListFailed && s.list.Out():
 		s.log(s.list.ended(s.now))
 		s.changed()
-		s.clock.add(s.list.Failed(s.now), s.watch)
+		next := s.list.Failed(s.now)
+		s.log(s.list.failedCall(s.now, s.list.Number(), next))
+		s.clock.add(next, s.watch)
 	case ev.List.Kind == lg.ListFailed: // of a call that was given up before
 	default:
 		s.log(s.list.answered(s.now))
--- a/internal/proxystate/list_test.go
+++ b/internal/proxystate/list_test.go
@@ -1,6 +1,7 @@
 package proxystate
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 	s   *State
 	now time.Duration
 	out int // branches begun
+	// lines is what was logged so far
+	lines strings.Builder
 }
 
 func newLister(t *testing.T, change func(*Config)) *lister {
@@ -36,6 +39,8 @@
 			all = append(all, e)
 		case Dial:
 			l.out++
+		case Log:
+			l.lines.WriteString(e.Text + "\n")
 		}
 	}
 	return all
--- a/internal/proxystate/listlog.go
+++ b/internal/proxystate/listlog.go
@@ -22,10 +22,14 @@
 	firstFail time.Duration
 	outdated  uint64
 	asked     bool
-	lines     logburst.Limiter
+	askedAt   time.Duration    // when the last call was made
+	lines     logburst.Limiter // on calls that are made after others failed
+	failures  logburst.Limiter // on calls that failed
 }
 
-func newListLog() listLog { return listLog{lines: logburst.Limiter{Every: listLogEvery}} }
+func newListLog() listLog {
+	return listLog{lines: logburst.Limiter{Every: listLogEvery}, failures: logburst.Limiter{Every: listLogEvery}}
+}
 
 // asks takes in that a call is made, and returns a line for the log, empty where there is nothing to say.
 func (l *listLog) asks(now time.Duration, number int) string {
@@ -33,7 +37,7 @@
 	if l.endedAt > 0 {
 		paused = now - l.endedAt
 	}
-	l.endedAt = 0
+	l.endedAt, l.askedAt = 0, now
 	if !l.asked {
 		l.asked, l.heardAt = true, now
 	}
@@ -60,6 +64,25 @@
 	return ""
 }
 
+// failedCall returns a line on a call that has just failed and when the next one is due, empty where the log
+// has had enough of them.
+func (l *listLog) failedCall(now time.Duration, number int, next time.Duration) string {
+	if _, ok := l.failures.Allow(now); !ok {
+		return ""
+	}
+	return fmt.Sprintf("server list: call %d failed after %v, the next one is due in %v; heard %v ago", number,
+		(now - l.askedAt).Round(time.Millisecond), (next - now).Round(time.Millisecond),
+		l.age(now).Round(time.Millisecond))
+}
+
+// age is how long ago discovery last answered; before that, how long ago the first call was made.
+func (l *listLog) age(now time.Duration) time.Duration {
+	if !l.asked {
+		return 0
+	}
+	return now - l.heardAt
+}
+
 // outOfReach is how many calls in a row fail before the list counts as out of reach.
 const outOfReach = 2
 
@@ -81,9 +104,6 @@
 }
 
 func (l *listLog) figures(now time.Duration) ListFigures {
-	f := ListFigures{Heard: l.heard, LongestUnsent: l.gap, Failed: l.failed, Outdated: l.outdated}
-	if l.asked {
-		f.Unheard = now - l.heardAt
-	}
-	return f
+	return ListFigures{Heard: l.heard, Unheard: l.age(now), LongestUnsent: l.gap, Failed: l.failed,
+		Outdated: l.outdated}
 }
--- a/internal/proxystate/listlog_test.go
+++ b/internal/proxystate/listlog_test.go
@@ -36,6 +36,9 @@
 	if !strings.Contains(l.logged(), "1 failed") {
 		t.Errorf("logged %q", l.logged())
 	}
+	if want := "call 2 failed after 1s, the next one is due in "; !strings.Contains(l.lines.String(), want) {
+		t.Errorf("logged %q, want %q", l.lines.String(), want)
+	}
 	got := l.s.list.figures(l.now)
 	if got.Failed != 1 || got.LongestUnsent != paused || (got.Unheard-(l.now-heard)).Abs() > 200*ms {
 		t.Errorf("while it fails: %+v, paused %v", got, paused)
