Pace calls for the server list by its lease, one law for every number of proxies

The constant 24 and both laws chosen by it are gone. Trial left: pauses that double where calls time out in a queue (late at services that hold calls while down).

--- a/internal/listcalls/listcalls.go
+++ b/internal/listcalls/listcalls.go
@@ -3,10 +3,9 @@
 // return the moment of the next call; whoever drives it owns the timers and the connection.
 //
 // All of it follows from one promise of the protocol: what the list service has counts as notified by
-// NewsBy at the latest, whatever became of the calls for it. So where few proxies call no pause grows with
-// the number of calls that failed, and after one that failed or fell silent the next must be able to bring
-// news well before that. A crowded service sets the other bound: the calls of many proxies must leave it
-// time to answer them, and there pauses grow.
+// NewsBy at the latest, whatever became of the calls for it. A Lease says until when the list may be used
+// because of that. Every pause after a call that failed ends well before the lease does, whatever the
+// number of proxies. Where a service can't answer all of them in that time, the lease ends first.
 package listcalls
 
 import (
@@ -20,28 +19,31 @@
 
 // Times of the calls.
 const (
-	pauseAnswered = 100 * time.Millisecond // from an answer to the next call
-	pauseSoon     = 20 * time.Millisecond  // the same where calls have failed lately
-	pauseLeast    = 100 * time.Millisecond // from a failed call to the next one
-	pausePushed   = 20 * time.Millisecond  // the same where lists are pushed and the settings name no grace
-	graceParts    = 3                      // else a pushed list that failed is asked for so often in a grace
-	fewProxies    = 24                     // up to so many all hear of a change well within NewsBy
-	backOffCost   = 250 * time.Millisecond // a call that fails costs a crowded service so much, where many call
-	backOffMost   = 5                      // pauses grow up to so many halves of the time for asking
-	crowdedPart   = 0.8                    // of that time, at most, from an answer of a crowded service on
-	retryLeast    = 400 * time.Millisecond // between the starts of two calls that fail, at least
-	firstMost     = 2 * time.Second        // over which the first calls of processes that start are spread
-	costGuess     = 100 * time.Millisecond // what a call costs the service, where none was measured
-	costSlack     = 1.25                   // the calls of all proxies leave the service so much time
-	workParts     = 8                      // an answer is followed by a pause of so many times the work it made,
-	workMost      = 150 * time.Millisecond // up to this: a watch goes on for 200 ms without a call
-	jitterPart    = 0.4                    // of the time between two calls that fail, in which it is drawn
-	waitLeast     = 0.1                    // part of that time which a watch waits at least
-	waitUsual     = 10 * time.Second       // how long a watch may wait where the settings name no time
-	waitPushed    = 4 * time.Second        // and where lists are pushed: an answer without news costs nothing
-	// The protocol counts what a silent watch misses as notified 2 s after its wait (or NewsBy after it fell
-	// silent, if that is later). The watch is given up well before that, so that there is time for the next
-	// call, and for one more where that is not answered either.
+	pauseAnswered = 100 * time.Millisecond  // from an answer to the next call
+	pauseSoon     = 20 * time.Millisecond   // the same where calls have failed lately
+	pauseLeast    = 100 * time.Millisecond  // from a failed call to the next one
+	pausePushed   = 20 * time.Millisecond   // the same where lists are pushed and the settings name no grace
+	graceParts    = 3                       // else a pushed list that failed is asked for so often in a grace
+	crowdedPart   = 0.8                     // of the time for asking: at most between two calls of a crowd
+	retryLeast    = 400 * time.Millisecond  // between the starts of two calls that fail, at least
+	retryMost     = 2 * time.Second         // and at most: the rest of NewsBy is for the answers
+	answeredMost  = 4 * time.Second         // from an answer of a crowded service to the next call, at most
+	graceUsual    = 250 * time.Millisecond  // a drain's grace where the settings name none
+	newWatch      = 300 * time.Millisecond  // after this a call is a new watch, no longer the one before
+	firstMost     = 2 * time.Second         // over which the first calls of processes that start are spread
+	costLeast     = time.Millisecond        // a call costs the service so much, at least
+	costGuess     = 100 * time.Millisecond  // what a call costs the service, where none was measured
+	costSlack     = 1.25                    // the calls of all proxies leave the service so much time
+	workParts     = 8                       // a pause follows an answer, of so many times its work,
+	workMost      = 150 * time.Millisecond  // up to this: a watch goes on for 200 ms without a call
+	jitterPart    = 0.4                     // of the time between two calls that fail, in which it is drawn
+	waitLeast     = 0.1                     // part of that time which a watch waits at least
+	waitFailed    = 3500 * time.Millisecond // how long a watch may wait after calls that failed
+	waitUsual     = 10 * time.Second        // how long a watch may wait where the settings name no time
+	waitPushed    = 4 * time.Second         // and where lists are pushed: an answer without news costs nothing
+	// The protocol counts what a silent watch misses as notified 2 s after its wait (or NewsBy after it
+	// fell silent, if that is later). The watch is given up well before that, so that there is time for
+	// the next call, and for one more where that is not answered either.
 	silentLeast = 500 * time.Millisecond  // a watch is given up so long after its wait, where few proxies call
 	silentMost  = 1200 * time.Millisecond // and where many do, whose watches end one after the other:
 	silentParts = 8                       // one of so many parts of the time that all calls take
@@ -86,13 +88,14 @@
 	began    time.Duration // the call that is out, or was last
 	wait     time.Duration // that it may take
 	cost     time.Duration // of a call, as the quickest one that didn't wait shows; 0: not known
+	held     time.Duration // after which a call failed as in a queue, at most
 	known    bool          // the next call may wait for what changes
 	spread   bool          // this proxy's watches end in its turn: there was no news since
 	lag      time.Duration // that the service took of late beyond what calls were allowed to wait
 	lagKnown bool
-	heard    bool          // a call was answered
+	lease    Lease
+	reached  bool          // a connection for the call that is out has come up
 	crowded  bool          // a call has failed since the last answer
-	pause    time.Duration // after the last call that failed, where many proxies call
 	missed   time.Duration // when a call failed or fell silent last; 0: never
 	misses   int           // calls that failed or fell silent since the last answer
 	silent   int           // of these the last ones, that fell silent
@@ -100,11 +103,21 @@
 
 // New returns the schedule of a proxy that has made no call.
 func New(cfg Config) *Schedule {
-	return &Schedule{cfg: cfg, rng: rand.New(rand.NewPCG(uint64(cfg.Me), uint64(cfg.Proxies)))}
+	s := &Schedule{rng: rand.New(rand.NewPCG(uint64(cfg.Me), uint64(cfg.Proxies)))}
+	s.Configure(cfg)
+	return s
 }
 
 // Configure has the schedule go by other settings from the next call on.
-func (s *Schedule) Configure(cfg Config) { s.cfg = cfg }
+func (s *Schedule) Configure(cfg Config) { s.cfg, s.lease.every = cfg, cfg.Every }
+
+// UsableUntil is the moment from which on nothing may be sent by the list. It is of no use where lists are
+// pushed.
+func (s *Schedule) UsableUntil() time.Duration { return s.lease.Until() }
+
+// Reached says that a connection for the call that is out has come up: if it is not answered, that does not
+// show that the service is out of reach.
+func (s *Schedule) Reached() { s.reached = true }
 
 // Out tells whether a call is out.
 func (s *Schedule) Out() bool { return s.out }
@@ -116,12 +129,13 @@
 func (s *Schedule) Know(version bool) { s.known = version }
 
 // Move says that the list is asked for elsewhere from now on: what was out is nobody's any more.
-func (s *Schedule) Move() {
-	s.out, s.known, s.misses, s.silent, s.pause, s.lag, s.lagKnown = false, false, 0, 0, 0, 0, false
+func (s *Schedule) Move(now time.Duration) {
+	s.out, s.known, s.misses, s.silent, s.lag, s.lagKnown = false, false, 0, 0, 0, false
+	s.lease.moved(now)
 }
 
-// First tells when a process that starts makes its first call: soon where few proxies call, else at a random
-// moment within firstMost, since many may have started together.
+// First tells when a process that starts makes its first call: soon where few proxies call, else at a
+// random moment within firstMost, since many may have started together.
 func (s *Schedule) First(now time.Duration) time.Duration {
 	return now + time.Duration(s.rng.Float64()*float64(min(s.allCalls(), firstMost)))
 }
@@ -137,24 +151,47 @@
 func (s *Schedule) begin(now time.Duration, anew bool) Call {
 	s.number++
 	s.out, s.began = true, now
+	s.reached = s.number > 1 && !anew
 	c := Call{Number: s.number, Anew: anew, GiveUp: now + s.answerIn()}
-	// After silence a call shows whether the service answers at all, before one may wait for news again: guards
-	// against two calls in a row that fall silent.
-	if s.known && s.silent == 0 {
-		// Guards against giving up a call that stands in the queue of a crowded service, which works on it all
-		// the same: there is time for that, since what a short watch misses counts NewsBy later.
-		c.Wait = s.nextWait()
-		c.GiveUp = now + max(c.Wait+s.silentAfter(), s.answerIn())
+	if s.known {
+		c.Wait = s.waitFor()
+		// Guards against giving up a call that stands in the queue of a crowded service, which works on it
+		// all the same: there is time for that, since what a short watch misses counts NewsBy later.
+		if c.Wait > 0 {
+			c.GiveUp = now + max(c.Wait+s.silentAfter(), s.answerIn())
+		}
+		if s.misses == 0 {
+			s.lease.watched(now, c.Wait)
+		} else {
+			s.lease.called(now, c.Wait)
+		}
 	}
 	s.wait = c.Wait
 	return c
 }
 
+// waitFor is how long a call may wait for news. After others failed it is answered while the list may
+// still be used, and after one that fell silent it shows whether there is an answer at all.
+func (s *Schedule) waitFor() time.Duration {
+	switch {
+	case s.silent > 0:
+		return 0
+	case s.misses > 0 && s.cfg.Asked:
+		return min(s.every(), waitFailed)
+	}
+	return s.nextWait()
+}
+
 // GiveUp says that the time of a call has come, and makes the next one if it is still out.
 func (s *Schedule) GiveUp(now time.Duration, number int) (Call, bool) {
 	if !s.out || s.number != number {
 		return Call{}, false
 	}
+	if !s.reached {
+		s.lease.unreachable(s.began)
+	} else {
+		s.lease.silent(s.began, s.wait)
+	}
 	s.misses++
 	s.silent++
 	s.missed, s.crowded, s.spread = now, s.crowded || s.silent > 1, false
@@ -162,45 +199,35 @@
 }
 
 // Failed takes in that the call that is out has failed, and returns when to make the next one. Calls that
-// broke together are made again in their proxies' turn; not so where many have just started together and
-// the service has not answered yet: they back off at once.
+// broke together are made again in their proxies' turn.
 func (s *Schedule) Failed(now time.Duration) time.Duration {
+	s.lease.failed(s.began, now)
 	s.out, s.silent = false, 0
 	s.misses++
 	s.missed, s.crowded, s.spread = now, true, false
+	if took := now - s.began; took > quickFail && took <= queueMost {
+		s.held = max(s.held, took)
+	}
 	switch {
 	case !s.cfg.Asked:
 		return now + max(pausePushed, s.cfg.Grace/graceParts)
-	case s.misses == 1 && s.few():
-		return now + s.turn(min(s.allCalls(), s.apart()))
-	case s.misses == 1 && s.heard:
-		return now + s.turn(min(s.allCalls(), s.every()))
-	case s.few():
-		return max(now+pauseLeast, s.began+s.jitter(s.apart()))
+	case s.misses == 1:
+		return now + s.inTime(now, s.turn(min(s.allCalls(), s.apart())))
 	}
-	return now + s.backOff()
+	return now + max(pauseLeast, s.inTime(now, s.began+s.jitter(s.apart())-now))
 }
 
-// few tells whether the service can be expected to answer all proxies well within NewsBy.
-func (s *Schedule) few() bool { return s.cfg.Proxies <= fewProxies }
-
-// apart is how far the starts of two calls that fail are apart where few proxies call: by what the service
-// needs for all of them. It does not grow with the number of calls that failed, so that news come within
-// NewsBy.
-func (s *Schedule) apart() time.Duration {
-	all := time.Duration(costSlack * float64(costGuess) * float64(max(1, s.cfg.Proxies)))
-	return max(retryLeast, min(all, s.every()))
+// inTime shortens a pause so that the call after it can be answered while the list may be used.
+func (s *Schedule) inTime(now, pause time.Duration) time.Duration {
+	return max(0, min(pause, s.lease.Until()-answerLeast-now))
 }
 
-// backOff is the pause after a call that failed where many proxies call: no bound of theirs can be kept by
-// calls while the service is crowded. What stands in its queue costs it time even where it comes to
-// nothing, and too many calls would leave it none to answer any. So pauses grow, up to what a change may
-// stay unknown after a call that failed.
-func (s *Schedule) backOff() time.Duration {
-	most := max(s.every(), min(backOffCost*time.Duration(s.cfg.Proxies), s.every()*backOffMost/2))
-	least := min(s.every(), backOffCost*time.Duration(s.cfg.Proxies))
-	s.pause = min(max(least, 2*s.pause), most)
-	return s.pause/2 + time.Duration(s.rng.Float64()*float64(s.pause))
+// apart is how far the starts of two calls that fail are apart: by what the service needs for all proxies,
+// as far as NewsBy allows. It does not grow with the number of calls that failed. A service that needs
+// longer for all proxies can't tell all in time by any schedule: there the lease ends first.
+func (s *Schedule) apart() time.Duration {
+	all := time.Duration(costSlack * float64(s.allCalls()))
+	return min(max(retryLeast, min(all, s.every())), retryMost)
 }
 
 // Answered takes in what the call that is out has brought, and returns when to make the next one. A watch
@@ -211,24 +238,36 @@
 func (s *Schedule) Answered(now time.Duration, a Answer) time.Duration {
 	s.seen(now-s.began, a)
 	crowded := s.crowded
-	s.heard = true
-	s.out, s.crowded, s.silent, s.misses, s.pause = false, false, 0, 0, 0
+	s.out, s.crowded, s.silent, s.misses = false, false, 0, 0
+	s.lease.answered(now)
 	s.known = a.Known
 	s.spread = s.spread && a.Quiet
-	pause := pauseAnswered
+	next := s.began + pauseAnswered
 	switch {
-	case crowded && s.cfg.Asked && !s.few():
-		pause = max(pause, s.whenCrowded())
+	case crowded && s.crowd():
+		next = max(now+newWatch, s.began+s.whenCrowded())
 	case s.missed > 0 && now-s.missed < s.every():
-		pause = pauseSoon
+		next = s.began + pauseSoon
+	}
+	return max(now+min(workParts*a.Work, workMost), next)
+}
+
+// crowd tells whether the calls of all proxies keep the service busy for longer than a drain's grace.
+// Where it was not seen what one costs, that goes by a guess, and for longer than a list may be used
+// without a call.
+func (s *Schedule) crowd() bool {
+	if s.cost == 0 {
+		return s.cfg.Asked && s.allCalls() > NewsBy
 	}
-	return max(now+min(workParts*a.Work, workMost), s.began+pause)
+	return s.cfg.Asked && s.allCalls() > cmp.Or(s.cfg.Grace, graceUsual)
 }
 
-// whenCrowded is the time from one call to the next where many proxies call a crowded service.
+// whenCrowded is the time from one call to the next where the service can't answer all proxies in a
+// drain's grace. The next call begins a new watch: what changed between two calls of one watch counts as
+// notified at once, and the service would not tell of it in time.
 func (s *Schedule) whenCrowded() time.Duration {
-	all := costSlack * float64(s.cost) * float64(s.cfg.Proxies)
-	return time.Duration(min(all, crowdedPart*float64(s.every())))
+	all := time.Duration(costSlack * float64(s.allCalls()))
+	return min(all, answeredMost, time.Duration(crowdedPart*float64(s.every())))
 }
 
 // allCalls is how long the service takes for a call of each proxy.
@@ -236,16 +275,17 @@
 	return cmp.Or(s.cost, costGuess) * time.Duration(max(1, s.cfg.Proxies))
 }
 
-// answerIn is how long a call may take that doesn't wait for news: several times as long as the service was
-// seen to take of late, and twice as long as the one before if that fell silent, within bounds. Where it was
-// not seen, the most: a call that is given up in the queue of a slow service costs that all the same, and
-// the next one waits from the start.
+// answerIn is how long a call may take that doesn't wait for news: several times as long as the service
+// was seen to take of late, and twice as long as the one before if that fell silent, within bounds. Where
+// it was not seen, and where calls fail, the most: a call that is given up in the queue of a slow service
+// costs that all the same, the next one waits from the start, and what a call misses that was given up
+// counts as notified sooner than what one misses that failed.
 func (s *Schedule) answerIn() time.Duration {
-	if !s.lagKnown || !s.few() {
+	if !s.lagKnown || s.misses > s.silent {
 		return answerMost
 	}
-	least := answerLeast << min(max(0, s.silent-1), mostDoublings)
-	return min(max(lagParts*s.lag, least), answerMost)
+	least := max(answerLeast, s.cost*time.Duration(s.cfg.Proxies)) << min(max(0, s.silent-1), mostDoublings)
+	return min(max(lagParts*s.lag, least, s.held+waitSlack), answerMost)
 }
 
 // seen takes in how long the service took for a call beyond what that was allowed to wait. Of what was seen
@@ -254,7 +294,7 @@
 	switch {
 	case a.Whole, s.wait == 0:
 		if s.cost == 0 || took < s.cost {
-			s.cost = took
+			s.cost = max(took, costLeast)
 		}
 	case a.Quiet && took >= s.wait-waitSlack:
 		took = max(0, took-s.wait)
@@ -277,8 +317,8 @@
 	return over * time.Duration(s.cfg.Me) / time.Duration(max(1, s.cfg.Proxies))
 }
 
-// jitter is a time drawn from around one. Guards against proxies whose calls keep step: a service that turns
-// away each second call, say, would turn away the same ones for good.
+// jitter is a time drawn from around one. Guards against proxies whose calls keep step: a service that
+// turns away each second call, say, would turn away the same ones for good.
 func (s *Schedule) jitter(d time.Duration) time.Duration {
 	return d + time.Duration(jitterPart*(s.rng.Float64()-0.5)*float64(d))
 }
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -409,7 +409,7 @@
 	s.share()
 	if ev.Discovery != s.cfg.Discovery {
 		s.cfg.Discovery = ev.Discovery
-		s.list.Move()
+		s.list.Move(s.now)
 		s.watch()
 	}
 }
