--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -79,12 +79,15 @@
 	connectTimeout = 300 * time.Millisecond
 	keepAlive      = 2 * time.Second
 	keyedWindow    = 1200 * time.Millisecond
-	processSockets = 512 // descriptors
+	processSockets = 512    // descriptors
+	tenantRate     = 5000.0 // requests a second, of all processes that run
 )
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func (p *Process) configure(discovery string) {
+	o := p.fleet.options
+	allowance := tenantRate * float64(o.FleetSize) / float64(o.Proxies)
 	described := []any{}
 	for _, c := range classes {
 		described = append(described, map[string]any{"name": c.name, "aim": millis(c.deadline) / 2,
@@ -92,11 +95,11 @@
 			"memory-span": millis(keyedWindow), "worth": c.worth})
 	}
 	p.config = map[string]any{"name": p.Name, "listen": p.Listen, "discovery": discovery, "admin": p.Admin,
-		"seed":   fmt.Sprintf("%x", uint64(p.index)+p.fleet.options.Seed*1000+1),
+		"seed":   fmt.Sprintf("%x", uint64(p.index)+o.Seed*1000+1),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": processSockets},
 		"known":  p.fleet.discovery.document(0, true),
 		"settings": map[string]any{"azs": zones, "models": []string{"k0"},
-			"balancers": p.fleet.options.Proxies, "me": p.index, "zone": p.index % len(zones), "stage": 0,
+			"balancers": o.FleetSize, "me": o.number(p.index), "zone": p.index % len(zones), "stage": 0,
 			"tiers": []string{"t"},
 			"bounds": map[string]any{"cancel": true, "connect-timeout": millis(connectTimeout),
 				"keepalive": millis(keepAlive), "max-retry-after": 1000.0, "most-tries": 4, "retry-after": true,
@@ -104,10 +107,10 @@
 			"classes": described, "counted-by": "request", "membership-mode": "on_request", "over-share-worth": 0.1,
 			"prices":    map[string]any{"cross-zone": 0.025},
 			"reporting": map[string]any{"how": "piggyback", "names": []string{"rif"}},
-			"rules": map[string]any{"answer-slack": 20.0, "ask-every": millis(p.fleet.options.AskEvery),
+			"rules": map[string]any{"answer-slack": 20.0, "ask-every": millis(o.AskEvery),
 				"cold-from": 0.3, "overload-for": 1000.0, "stop-sending-within": millis(drainGrace), "tip-multiple": 2.5,
 				"warm-within": 2000.0},
-			"tenants": []any{map[string]any{"name": "port", "allowance-per-s": 5000.0}}}}
+			"tenants": []any{map[string]any{"name": "port", "allowance-per-s": allowance}}}}
 }
 
 func (p *Process) configFile() string { return filepath.Join(p.dir, "config.json") }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,7 +26,10 @@
 	Seed    uint64
 	Proxies int
 	Servers int
-	Every   time.Duration // between two requests at each proxy
+	// FleetSize is how many proxies there are by the settings, of which the run's processes are some, spread
+	// from the first number to the last; 0: as many as run
+	FleetSize int
+	Every     time.Duration // between two requests at each proxy
 	// AskEvery is the settings' time for asking for the list; 0: a usual one
 	AskEvery time.Duration
 	// WholeEvery: one answer of the list service in so many is the whole list; 0: each
@@ -36,6 +39,9 @@
 	Log   func(string) // may be nil
 }
 
+// number is the number that a process has in its fleet.
+func (o Options) number(index int) int { return index * (o.FleetSize - 1) / max(1, o.Proxies-1) }
+
 // Report is what came of a run.
 type Report struct {
 	Asked, Served, Refused, Failed int
@@ -80,6 +86,12 @@
 	if o.Proxies > mostProcesses {
 		return nil, fmt.Errorf("%d processes, %d at most", o.Proxies, mostProcesses)
 	}
+	if o.FleetSize == 0 {
+		o.FleetSize = o.Proxies
+	}
+	if o.FleetSize < o.Proxies {
+		return nil, fmt.Errorf("%d processes in a fleet of %d", o.Proxies, o.FleetSize)
+	}
 	if o.AskEvery == 0 {
 		o.AskEvery = usualAskEvery
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,7 +16,15 @@
 
 var binary, library string
 
+// casesAtOnce is how many fleets run side by side: nearly all of their time they wait for clocks, not cores.
+const casesAtOnce = 64
+
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", fmt.Sprint(casesAtOnce)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err == nil {
 		binary = filepath.Join(dir, "lilacglade")
@@ -44,11 +54,16 @@
 	return newFleetOf(t, Options{Seed: seed, Proxies: proxies, Servers: servers, Every: 20 * time.Millisecond})
 }
 
+// starting is held by who starts a fleet: a burst of starts would hold up those that run already.
+var starting sync.Mutex
+
 // newFleetOf starts a fleet by options that leave out what all tests have.
 func newFleetOf(t *testing.T, o Options) *Fleet {
 	t.Helper()
 	o.Binary, o.Library, o.Dir, o.Log = binary, library, t.TempDir(), func(s string) { t.Log(s) }
+	starting.Lock()
 	f, err := New(context.Background(), o)
+	starting.Unlock()
 	if err != nil {
 		t.Fatal(err)
 	}
