--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -196,6 +196,15 @@
 	}
 }
 
+// breakWatch resets the connections of one process.
+func (d *Discovery) breakWatch(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at := d.doors[name]; at != nil {
+		at.reset()
+	}
+}
+
 // follow keeps count of a door's connections.
 func (at *door) follow(c net.Conn, state http.ConnState) {
 	at.mu.Lock()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -22,6 +22,8 @@
 	At   time.Duration // since the judge began
 	Rule string
 	What string
+	// Late is how long after a change counts as notified an attempt was made, where that is the violation
+	Late time.Duration
 }
 
 func (v Violation) String() string { return fmt.Sprintf("%.3f %s: %s", v.At.Seconds(), v.Rule, v.What) }
@@ -123,7 +125,8 @@
 }
 
 func (j *Judge) broken(at time.Time, rule, format string, args ...any) {
-	j.violations = append(j.violations, Violation{at.Sub(j.began), rule, fmt.Sprintf(format, args...)})
+	v := Violation{At: at.Sub(j.began), Rule: rule, What: fmt.Sprintf(format, args...)}
+	j.violations = append(j.violations, v)
 }
 
 // slack is how much later than it was something may have been seen, of what happened between two moments.
@@ -501,6 +504,7 @@
 		j.broken(a.first, "drain", "%s went to %s %s after discovery had it, %s after it counts as notified "+
 			"(%s); %s", r.name(), a.server, seconds(a.first.Sub(at)), seconds(a.first.Sub(by)), sentence,
 			trace(l, k.reach, at, a.first))
+		j.violations[len(j.violations)-1].Late = a.first.Sub(by)
 	}
 }
 
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -89,6 +89,7 @@
 		f.mute(p, e)
 	case DoorDown:
 		f.discovery.shut(p.Name, true)
+		f.discovery.breakWatch(p.Name)
 		time.Sleep(e.Lasts)
 		f.discovery.shut(p.Name, false)
 	case Signals:
@@ -254,6 +255,9 @@
 		return
 	}
 	d.set(func() { change(true) })
+	if e.Kind == DiscoveryDown { // watches end when discovery goes down
+		d.breakWatches()
+	}
 	time.Sleep(e.Lasts)
 	d.set(func() { change(false) })
 }
