Test that a restart has nothing forgotten of what a process did before

Change: TestLives, a table of changes, restarts and attempts, also on the list that a process starts with.

--- a/internal/soak/notified_test.go
+++ b/internal/soak/notified_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -104,6 +105,48 @@
 	}
 }
 
+// TestLives guards against a restart that has what a process did before it be forgotten, and holds that a
+// process knows what it had last from its start on.
+func TestLives(t *testing.T) {
+	for name, tc := range map[string]struct {
+		restart float64 // with the version that the process had last; 0: none
+		told    bool    // the change, by a call in the first life
+		attempt float64
+		want    string // in the violation; "": none
+	}{
+		"6 s after the change":          {attempt: 6.2},
+		"later":                         {attempt: 6.5, want: "0.500 s after it counts"},
+		"later, and then restarted":     {attempt: 6.5, restart: 7, want: "0.500 s after it counts"},
+		"restarted after the change":    {attempt: 6.5, restart: 1.5, want: "0.500 s after it counts"},
+		"told":                          {attempt: 2, told: true, want: "1.5s after its process"},
+		"told, restarted":               {attempt: 2.6, told: true, restart: 2.5},
+		"told, restarted, its own list": {attempt: 3, told: true, restart: 2.5, want: "500ms after its process"},
+	} {
+		stalls := newStalls()
+		j := newJudge(stalls, askSeldom)
+		zero := j.began
+		at := func(s float64) time.Time { return zero.Add(time.Duration(s * float64(time.Second))) }
+		j.listed("s", true, 1, at(-9))
+		j.started("n", at(-8), 1)
+		j.listed("s", false, 2, at(0))
+		if tc.told {
+			j.told(j.called("n", at(0.4), 0), 2, at(0.5))
+		}
+		if tc.restart > 0 {
+			j.started("n", at(tc.restart), j.lastTold("n"))
+		}
+		j.judgeDrain(&request{proxy: "n"}, &attempt{server: "s", first: at(tc.attempt)}, 0)
+		stalls.stop()
+		got := ""
+		if len(j.violations) > 0 {
+			got = j.violations[0].What
+		}
+		if !strings.Contains(got, tc.want) || tc.want == "" && got != "" {
+			t.Errorf("%s: %q, want %q", name, got, tc.want)
+		}
+	}
+}
+
 // TestTrace holds that a trace shows the calls from before a change up to the one that ended the delay.
 func TestTrace(t *testing.T) {
 	zero := time.Now()
