--- a/internal/soak/outages.go
+++ b/internal/soak/outages.go
@@ -19,7 +19,8 @@
 	outageMost  = time.Minute
 	outageFrom  = 2 * time.Second        // the first one, at the earliest
 	drainWithin = 300 * time.Millisecond // of the return a server begins to drain,
-	drainLasts  = 10 * time.Second       // and stays so
+	drainLasts  = 16 * time.Second       // and stays so
+	outageGap   = 10 * time.Second       // from a return to the next outage, or the end, at least
 	drainsMost  = 3                      // servers
 	doorParts   = 3                      // one outage in so many is that of one process
 	fleetLeast  = 3
@@ -48,15 +49,15 @@
 		return oneOutage(rng, proxies, servers, outageFrom, Event{Kind: DiscoveryDown, Lasts: o.Exact}, o)
 	}
 	var all Schedule
-	for at := outageFrom; faults-at-drainLasts > outageLeast; {
+	for at := outageFrom; faults-at-outageGap > outageLeast; {
 		at += between(rng, 0, time.Second)
 		down := Event{Kind: DiscoveryDown, Process: rng.IntN(proxies),
-			Lasts: logUniform(rng, outageLeast, max(outageLeast, min(outageMost, faults-at-drainLasts)))}
+			Lasts: logUniform(rng, outageLeast, max(outageLeast, min(outageMost, faults-at-outageGap)))}
 		if rng.IntN(doorParts) == 0 {
 			down.Kind = DoorDown
 		}
 		all = append(all, oneOutage(rng, proxies, servers, at, down, o)...)
-		at += down.Lasts + drainLasts
+		at += down.Lasts + outageGap
 	}
 	return all
 }
