Send nothing by a list whose lease has run out: guard, refusals with advice, figures

Calls post when they have a connection (ListReached): one that never got one shows the service out of reach, one that is silent does not. Figures list_expired and list_withheld_attempts, one log line each way. Tests: the model of the reducer begins with an answered list; the forced orders have the service take connections.

--- a/api.go
+++ b/api.go
@@ -164,7 +164,7 @@
 }
 
 // Event is something that happened at the proxy: a Request, Outcome, AnswerStarted,
-// Departed, Timer, List, ProbeResult or PeerMessage.
+// Departed, Timer, List, ListLease, ProbeResult or PeerMessage.
 type Event interface{ event() }
 
 // Request is a client's request. The Balancer owes it one final answer within Budget.
@@ -222,6 +222,10 @@
 	Servers []Server
 }
 
+// ListLease says whether the list may be used: where it has expired, what changed since may count as notified
+// though no call brought it, and nothing new may be sent until it holds again. It holds from the start.
+type ListLease struct{ Expired bool }
+
 // ProbeResult is the end of a probe.
 type ProbeResult struct {
 	Server  ServerID
@@ -242,6 +246,7 @@
 func (Departed) event()      {}
 func (Timer) event()         {}
 func (List) event()          {}
+func (ListLease) event()     {}
 func (ProbeResult) event()   {}
 func (PeerMessage) event()   {}
 
--- a/balancer.go
+++ b/balancer.go
@@ -50,6 +50,7 @@
 	retryShare  = 0.2                    // retries earned by each request, so that load never multiplies
 	retryStock  = 10.0
 	holdFor     = 50 * time.Millisecond // a request that no server may take now is looked at again
+	expiredWait = 0.5                   // part of its aim that a request waits for a list that may be used
 	coldLeast   = 0.6                   // part of the fleet that a cold server's share counts among, at least
 	coldBurst   = 0.5                   // of a tip window, what it may take at once
 	coldDebt    = 2.0                   // what a request that it turned away costs besides, in requests
@@ -387,6 +388,10 @@
 		b.finish(r)
 		return
 	}
+	if b.expired {
+		b.await(r, left)
+		return
+	}
 	s := b.trial(r)
 	probing := s != nil
 	if !probing {
@@ -400,9 +405,7 @@
 			b.refuse(r) // waiting here would only move the queue
 			return
 		}
-		b.token = max(b.token+1, firstToken)
-		b.held[b.token] = r.ID
-		b.timer(min(holdFor, left), b.token)
+		b.hold(r, left)
 		return
 	}
 	held := b.inFlight(s) + 1
@@ -436,6 +439,26 @@
 	b.acts = append(b.acts, Action{Do: Send, Request: r.ID, Server: s.ID, For: limit, Within: within})
 }
 
+// hold has r looked at again in a while.
+func (b *Balancer) hold(r *request, left time.Duration) {
+	b.token = max(b.token+1, firstToken)
+	b.held[b.token] = r.ID
+	b.timer(min(holdFor, left), b.token)
+}
+
+// await holds r for a list that may be used, as long as it can still be answered in time; what was tried
+// before is given up at once.
+func (b *Balancer) await(r *request, left time.Duration) {
+	switch {
+	case len(r.tried) > 0:
+		b.finish(r)
+	case float64(b.now-r.arrived) >= expiredWait*float64(r.class.Aim):
+		b.refuse(r)
+	default:
+		b.hold(r, left)
+	}
+}
+
 // refuse turns r away before it was sent anywhere.
 func (b *Balancer) refuse(r *request) {
 	b.refused++
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -235,6 +235,8 @@
 	line("list_longest_pause_ms", millis(f.List.LongestUnsent))
 	line("list_calls_failed_in_a_row", uint64(max(0, f.List.Failed)))
 	line("list_outdated_attempts", f.List.Outdated)
+	line("list_expired", f.List.Lapses)
+	line("list_withheld_attempts", f.List.Withheld)
 	line("discovery_calls{outcome=\"answered\"}", f.Sockets.CallsAnswered)
 	line("discovery_calls{outcome=\"failed\"}", f.Sockets.CallsFailed)
 	line("answers_unwritten", f.Sockets.Unwritten)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -17,7 +17,7 @@
 			SlowEvents: 4, LongestEvent: 72 * time.Millisecond, LongestQueued: 1500,
 			LongestList: 71 * time.Millisecond},
 		List: proxystate.ListFigures{Heard: true, Unheard: 7 * time.Second, LongestUnsent: 2 * time.Second,
-			Failed: 3, Outdated: 6},
+			Failed: 3, Outdated: 6, Lapses: 4, Withheld: 8},
 		Violations: sendguard.Counts{sendguard.Drained: 2},
 		Handled:    []proxystate.Handled{{Class: `a"b`, Passed: 812, Dropped: 7, BadGateway: 1}}}
 	want := `+OK
@@ -52,11 +52,14 @@
 node_violations{rule="overdue"} 0
 node_violations{rule="abandoned"} 0
 node_violations{rule="unconfirmed"} 0
+node_violations{rule="expired"} 0
 node_list_heard 1
 node_list_unheard_ms 7000
 node_list_longest_pause_ms 2000
 node_list_calls_failed_in_a_row 3
 node_list_outdated_attempts 6
+node_list_expired 4
+node_list_withheld_attempts 8
 node_discovery_calls{outcome="answered"} 31
 node_discovery_calls{outcome="failed"} 2
 node_answers_unwritten 1
--- a/internal/legs/events.go
+++ b/internal/legs/events.go
@@ -84,6 +84,10 @@
 			delete(p.hops, g.id)
 		}
 		p.step(proxystate.HopDialed{Leg: g.id, OK: ok, Local: item.local})
+	case reached:
+		if item.by == p.watcher {
+			p.step(proxystate.ListReached{})
+		}
 	case document:
 		if item.from == p.watcher {
 			p.told(item)
--- a/internal/legs/inbox.go
+++ b/internal/legs/inbox.go
@@ -78,6 +78,9 @@
 		conn  netpoll.Connection // nil when it failed
 		local bool               // by a fault of this machine
 	}
+	// reached says that a watcher's call has a connection.
+	reached struct{ by *watcher }
+
 	document struct {
 		from     *watcher
 		list     serverlist.Document
--- a/internal/legs/watcher.go
+++ b/internal/legs/watcher.go
@@ -112,6 +112,7 @@
 			return nil, errors.New("given up")
 		}
 	}
+	w.inbox.post(reached{w})
 	for _, b := range http1.Ask(c.target, w.address) {
 		if _, err := w.conn.Writer().WriteBinary(b); err != nil {
 			return nil, err
--- a/internal/proxystate/events.go
+++ b/internal/proxystate/events.go
@@ -150,6 +150,9 @@
 // HopClosed says that a hop leg is gone.
 type HopClosed struct{ Leg LegID }
 
+// ListReached says that the call for the list that is out has a connection.
+type ListReached struct{}
+
 // ListTold brings news of the server list, or a ListFailed.
 type ListTold struct {
 	List  lg.List
@@ -205,6 +208,7 @@
 func (HopStray) event()       {}
 func (HopClosed) event()      {}
 func (ListTold) event()       {}
+func (ListReached) event()    {}
 func (Reloaded) event()       {}
 func (ReloadFailed) event()   {}
 func (Remembered) event()     {}
--- a/internal/proxystate/guard.go
+++ b/internal/proxystate/guard.go
@@ -27,7 +27,7 @@
 	r := b.req
 	a := sendguard.Attempt{Now: s.now, State: b.hop.State(), Place: b.place,
 		Class: s.cfg.Settings.Classes[r.class], Ended: r.done || r.caller == nil, AtOnce: r.branch != b,
-		Unconfirmed: s.pushed() && !s.list.confirmed && s.now < s.cfg.Confirm}
+		Unconfirmed: s.pushed() && !s.list.confirmed && s.now < s.cfg.Confirm, Expired: s.expired()}
 	if r.mayRun {
 		a.Ran = &r.ran
 	}
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -123,6 +123,12 @@
 		s.end(b, lg.ConnectFailed, lg.LoadReport{})
 		return
 	}
+	if s.expired() && !s.cfg.Unguarded { // while it waited for its connection
+		s.list.withheld++
+		s.pool.Unused(s.now, l.Leg)
+		s.end(b, lg.Moot, lg.LoadReport{})
+		return
+	}
 	if rule := sendguard.Check(s.attempt(b)); rule != sendguard.None && !s.cfg.Unguarded {
 		s.violated(rule, b.req)
 		s.pool.Unused(s.now, l.Leg)
--- a/internal/proxystate/list.go
+++ b/internal/proxystate/list.go
@@ -12,6 +12,8 @@
 	begun     bool     // the first call is due, or was made
 	confirmed bool     // the list service has answered
 	old       *lg.List // known from before, kept until it is clear that nothing newer is to be had
+	lapsed    bool     // the decision module knows that the list may not be used
+	used      bool     // it could be used once: this process may be told to be ready
 }
 
 // listConfig is what the calls for the list go by.
@@ -23,6 +25,26 @@
 // pushed tells whether lists are pushed: what discovery has counts as told then, asked for or not.
 func (s *State) pushed() bool { return !s.cfg.Settings.AskForList }
 
+// expired tells whether what changed since the list was heard may count as notified, though this process has
+// not heard of it. Where lists are pushed everything counts at once, and nothing is known of it.
+func (s *State) expired() bool { return !s.pushed() && s.now >= s.list.UsableUntil() }
+
+// renew tells the decision module where the list can be used again, or can't any more.
+func (s *State) renew() {
+	expired := s.expired()
+	if expired == s.list.lapsed {
+		return
+	}
+	s.list.lapsed = expired
+	s.tell(lg.ListLease{Expired: expired})
+	if s.list.used {
+		s.log(s.list.lapse(s.now, expired))
+	}
+	s.list.used = s.list.used || !expired
+	s.changed()
+	s.readiness()
+}
+
 // told takes in the server list's news and goes on watching.
 func (s *State) told(ev ListTold) {
 	list := ev.List
--- a/internal/proxystate/listlog.go
+++ b/internal/proxystate/listlog.go
@@ -21,6 +21,8 @@
 	failed    int
 	firstFail time.Duration
 	outdated  uint64
+	lapses    uint64 // times that the lease of a list ran out that had been used
+	withheld  uint64 // attempts that waited for a connection meanwhile
 	asked     bool
 	askedAt   time.Duration    // when the last call was made
 	lines     logburst.Limiter // on calls that are made after others failed
@@ -96,6 +98,16 @@
 	return line
 }
 
+// lapse takes in that the list's lease has run out or holds again, and returns a line for the log.
+func (l *listLog) lapse(now time.Duration, expired bool) string {
+	if !expired {
+		return "server list: it may be used again"
+	}
+	l.lapses++
+	return fmt.Sprintf("server list: heard %v ago, it may be out of date: nothing new is sent until it is heard",
+		l.age(now).Round(time.Millisecond))
+}
+
 // sent takes in that an attempt is sent by the list that there is.
 func (l *listLog) sent(now time.Duration) {
 	if l.failed > 0 && now-l.heardAt > listcalls.NewsBy {
@@ -105,5 +117,5 @@
 
 func (l *listLog) figures(now time.Duration) ListFigures {
 	return ListFigures{Heard: l.heard, Unheard: l.age(now), LongestUnsent: l.gap, Failed: l.failed,
-		Outdated: l.outdated}
+		Outdated: l.outdated, Lapses: l.lapses, Withheld: l.withheld}
 }
--- a/internal/proxystate/model_test.go
+++ b/internal/proxystate/model_test.go
@@ -82,6 +82,7 @@
 		flooding: map[LegID]bool{}, flows: map[*call]bool{}, parted: map[LegID]bool{},
 		hops: map[LegID]*hopModel{}, state: map[lg.ServerID]lg.State{}}
 	m.routes(lg.CachedList, lg.Ready, 1, 2, 3)
+	m.routes(lg.FullList, lg.Ready, 1, 2, 3)
 	return m
 }
 
--- a/internal/proxystate/outdated_test.go
+++ b/internal/proxystate/outdated_test.go
@@ -96,6 +96,7 @@
 	switch e.Do {
 	case Watch:
 		o.out, o.began, o.wait = true, o.now, e.At-o.now
+		return []Event{ListReached{}} // the service takes the connection, whether or not it answers
 	case Dial:
 		if !o.holds {
 			return []Event{HopDialed{Leg: e.Leg, OK: true}}
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -211,10 +211,13 @@
 	if s.work != nil {
 		s.lookWork()
 	}
+	s.renew()
 	s.take(ev)
+	s.renew()
 	s.settle()
 	for do := s.clock.next(s.now); do != nil; do = s.clock.next(s.now) {
 		do()
+		s.renew()
 		s.settle()
 	}
 	if s.drained && !s.answering() {
@@ -323,6 +326,8 @@
 			s.list.Know(!ev.Whole)
 		}
 		s.told(ev)
+	case ListReached:
+		s.list.Reached()
 	case Settled:
 		s.settled(ev)
 	case CallerQuiet:
@@ -354,7 +359,8 @@
 
 // ready tells whether there is a next hop that takes requests.
 func (s *State) ready() bool {
-	return !s.stopping && !s.outgoing() && (s.list.confirmed || s.now >= s.cfg.Confirm) && s.pool.Ready()
+	return !s.stopping && !s.outgoing() && (s.list.confirmed || s.now >= s.cfg.Confirm) && s.pool.Ready() &&
+		(s.list.used || s.pushed())
 }
 
 // Ready tells whether this process can serve.
--- a/internal/sendguard/sendguard.go
+++ b/internal/sendguard/sendguard.go
@@ -23,12 +23,13 @@
 	Overdue          // a request got its final answer after its client had given up
 	Abandoned        // a client's connection would be closed while an answer is owed on it
 	Unconfirmed      // something would be sent by a server list that does not count yet
+	Expired          // something would be sent by a server list that may be out of date
 	rules
 )
 
 // Names are the rules' names in operators' figures.
 var Names = [rules]string{"none", "drained", "ended", "at_once", "repeated", "overdue", "abandoned",
-	"unconfirmed"}
+	"unconfirmed", "expired"}
 
 // String is the rule's name in operators' figures.
 func (r Rule) String() string { return Names[r] }
@@ -64,6 +65,7 @@
 	Ran    *Ran // nil: none may have run
 	// Unconfirmed: lists are pushed, and this process has not heard of one yet
 	Unconfirmed bool
+	Expired     bool // the lease of the server list has run out
 }
 
 // Check tells which rule the attempt would break, None if it may be sent.
@@ -77,6 +79,8 @@
 		return AtOnce
 	case a.Unconfirmed:
 		return Unconfirmed
+	case a.Expired:
+		return Expired
 	case a.Ran != nil && !repeatable(a):
 		return Repeated
 	}
--- a/internal/sendguard/sendguard_test.go
+++ b/internal/sendguard/sendguard_test.go
@@ -25,6 +25,7 @@
 		{"client left", Attempt{Class: safe, Ended: true}, Ended},
 		{"beside another", Attempt{Class: safe, AtOnce: true}, AtOnce},
 		{"by an old list", Attempt{Class: safe, Unconfirmed: true}, Unconfirmed},
+		{"by a list out of date", Attempt{Class: safe, Expired: true}, Expired},
 		{"safe once more", Attempt{Class: safe, Ran: ran, Now: time.Hour}, None},
 		{"unsafe once more", Attempt{Class: unsafe, Ran: ran}, Repeated},
 		{"keyed, same zone", Attempt{Class: zoned, Ran: ran, Now: 1999 * time.Millisecond, Place: Place{1, 9}},
--- a/state.go
+++ b/state.go
@@ -86,6 +86,7 @@
 
 	ranges  []slot
 	total   float64 // sum of the servers' d
+	expired bool    // the list must not be used to send by
 	noneUp  bool    // every capacity is zero: base capacities count
 	refresh time.Duration
 
@@ -223,6 +224,8 @@
 		b.wake(ev.Token)
 	case List:
 		b.list(ev)
+	case ListLease:
+		b.expired = ev.Expired
 	}
 	return b.acts
 }
