Begin new watches after failures, wait long, and count a failed call when it ends

Change: after a failed call the next one comes 0.3 s later at the earliest, may wait as long as the protocol allows and is given up after 3.5 s; a failed call shows the service out of reach when it ends.

--- a/internal/listcalls/lease.go
+++ b/internal/listcalls/lease.go
@@ -4,12 +4,10 @@
 
 // Times of a lease.
 const (
-	afterWait   = 2 * time.Second        // what a watch misses counts as notified so long after its wait
-	afterMove   = 4 * time.Second        // and what the list service has so long after its address has changed
-	answerLag   = time.Second            // an answer may have been under way for so long when it is read
-	quickFail   = 300 * time.Millisecond // a call that fails within this was turned away when it failed
-	queueMost   = 4 * time.Second        // a call that fails after more was a watch until then
-	failedTimes = 4                      // asking times that a list may be used after a call that failed
+	afterWait   = 2 * time.Second // what a watch misses counts as notified so long after its wait
+	afterMove   = 4 * time.Second // and what the list service has so long after its address has changed
+	answerLag   = time.Second     // an answer may have been under way for so long when it is read
+	failedTimes = 4               // asking times that a list may be used after a call that failed
 )
 
 // Lease is until when the server list that a process holds may be used to send by: what changed since then
@@ -60,14 +58,9 @@
 	}
 }
 
-// failed takes in that a call that began at a moment has failed. The service was out of reach when it was
-// turned away or its watch broke; a call that stood in a queue tells of its beginning only.
-func (l *Lease) failed(began, now time.Duration) {
+// failed takes in that the call that was out has failed: the service was out of reach.
+func (l *Lease) failed(now time.Duration) {
 	l.watch, l.call = 0, 0
-	if took := now - began; took > quickFail && took <= queueMost {
-		l.unreachable(began)
-		return
-	}
 	l.unreachable(now)
 }
 
--- a/internal/listcalls/listcalls.go
+++ b/internal/listcalls/listcalls.go
@@ -21,7 +21,6 @@
 const (
 	pauseAnswered = 100 * time.Millisecond  // from an answer to the next call
 	pauseSoon     = 20 * time.Millisecond   // the same where calls have failed lately
-	pauseLeast    = 100 * time.Millisecond  // from a failed call to the next one
 	pausePushed   = 20 * time.Millisecond   // the same where lists are pushed and the settings name no grace
 	graceParts    = 3                       // else a pushed list that failed is asked for so often in a grace
 	crowdedPart   = 0.8                     // of the time for asking: at most between two calls of a crowd
@@ -38,7 +37,8 @@
 	workMost      = 150 * time.Millisecond  // up to this: a watch goes on for 200 ms without a call
 	jitterPart    = 0.4                     // of the time between two calls that fail, in which it is drawn
 	waitLeast     = 0.1                     // part of that time which a watch waits at least
-	waitFailed    = 3500 * time.Millisecond // how long a watch may wait after calls that failed
+	waitMost      = 60 * time.Second        // how long a watch may wait by the protocol
+	answerFailed  = 3500 * time.Millisecond // after calls that failed a watch is given up after this
 	waitUsual     = 10 * time.Second        // how long a watch may wait where the settings name no time
 	waitPushed    = 4 * time.Second         // and where lists are pushed: an answer without news costs nothing
 	// The protocol counts what a silent watch misses as notified 2 s after its wait (or NewsBy after it
@@ -155,11 +155,7 @@
 	c := Call{Number: s.number, Anew: anew, GiveUp: now + s.answerIn()}
 	if s.known {
 		c.Wait = s.waitFor()
-		// Guards against giving up a call that stands in the queue of a crowded service, which works on it
-		// all the same: there is time for that, since what a short watch misses counts NewsBy later.
-		if c.Wait > 0 {
-			c.GiveUp = now + max(c.Wait+s.silentAfter(), s.answerIn())
-		}
+		c.GiveUp = s.giveUpAt(now, c.Wait)
 		if s.misses == 0 {
 			s.lease.watched(now, c.Wait)
 		} else {
@@ -170,18 +166,33 @@
 	return c
 }
 
-// waitFor is how long a call may wait for news. After others failed it is answered while the list may
-// still be used, and after one that fell silent it shows whether there is an answer at all.
+// waitFor is how long a call may wait for news. What a service does not answer while it is out of reach may
+// count by the wait of the first such call, so that is as long as can be. After a call that fell silent the
+// next one shows whether there is an answer at all.
 func (s *Schedule) waitFor() time.Duration {
 	switch {
 	case s.silent > 0:
 		return 0
 	case s.misses > 0 && s.cfg.Asked:
-		return min(s.every(), waitFailed)
+		return waitMost
 	}
 	return s.nextWait()
 }
 
+// giveUpAt is when a call that may wait so long is given up. After others failed that is while the list may
+// still be used: the next call does not wait, and shows whether there was no news.
+func (s *Schedule) giveUpAt(now, wait time.Duration) time.Duration {
+	switch {
+	case wait == 0:
+		return now + s.answerIn()
+	case s.misses > 0 && s.cfg.Asked:
+		return now + answerFailed
+	}
+	// Guards against giving up a call that stands in the queue of a crowded service, which works on it all
+	// the same: there is time for that, since what a short watch misses counts NewsBy later.
+	return now + max(wait+s.silentAfter(), s.answerIn())
+}
+
 // GiveUp says that the time of a call has come, and makes the next one if it is still out.
 func (s *Schedule) GiveUp(now time.Duration, number int) (Call, bool) {
 	if !s.out || s.number != number {
@@ -201,11 +212,11 @@
 // Failed takes in that the call that is out has failed, and returns when to make the next one. Calls that
 // broke together are made again in their proxies' turn.
 func (s *Schedule) Failed(now time.Duration) time.Duration {
-	s.lease.failed(s.began, now)
+	s.lease.failed(now)
 	s.out, s.silent = false, 0
 	s.misses++
 	s.missed, s.crowded, s.spread = now, true, false
-	if took := now - s.began; took > quickFail && took <= queueMost {
+	if took := now - s.began; took <= answerMost {
 		s.held = max(s.held, took)
 	}
 	switch {
@@ -214,7 +225,9 @@
 	case s.misses == 1:
 		return now + s.inTime(now, s.turn(min(s.allCalls(), s.apart())))
 	}
-	return now + max(pauseLeast, s.inTime(now, s.began+s.jitter(s.apart())-now))
+	// Guards against a call that goes on with a watch: what changes in between counts as notified at once,
+	// and this service does not answer in time.
+	return now + max(newWatch, s.inTime(now, s.began+s.jitter(s.apart())-now))
 }
 
 // inTime shortens a pause so that the call after it can be answered while the list may be used.
