faults: one file for each concern of the harness, and its names the field's

Need: rig.go had 1,050 lines with set-up, processes, steps, conditions, actions, calls and judging in one, and two functions of over 100 lines. Changed: it is now harness.go, setup.go, address.go, watch.go, staff.go, steps.go, conditions.go, actions.go, calls.go, network.go, listservice.go, lookup.go, scenario.go and report.go, each named after what it holds; what befalls a process's disk is in procdisk.go. Conditions and actions are tables from their word to a function with a name, so that each is a few lines. Rig is harness, free is freeAddress, say is logf, wrong is fail, stands is describe, seen is observe. What stood twice is there once: a process's free addresses (also in cost.go), and asking the proxies for their status. rig_test.go is scenarios_test.go, unchanged. No behaviour changes; exported functions and scenarios' words stay.

--- a/internal/faults/clients.go
+++ b/internal/faults/clients.go
@@ -22,6 +22,19 @@
 	Possible                       float64 // of all that was asked
 }
 
+// add counts others as well.
+func (o *Outcomes) add(more Outcomes) {
+	o.Asked += more.Asked
+	o.Served += more.Served
+	o.Refused += more.Refused
+	o.Failed += more.Failed
+	o.Lost += more.Lost
+	o.Excused += more.Excused
+	o.Unmet += more.Unmet
+	o.Worth += more.Worth
+	o.Possible += more.Possible
+}
+
 // clients ask one process all the time.
 type clients struct {
 	proc  *Proc
@@ -108,7 +121,7 @@
 
 const slowBody = 96 << 10
 
-// What the rig's configuration says of its classes.
+// What the harness's configuration says of its classes.
 const (
 	classAim  = 400 * time.Millisecond
 	lateWorth = 0.2
--- a/internal/faults/cost.go
+++ b/internal/faults/cost.go
@@ -35,10 +35,8 @@
 	defer d.Close()
 	for i := range 2 * rounds {
 		p := &Proc{Name: "n0", binary: binary, dir: filepath.Join(dir, fmt.Sprint(i)), alone: i%2 == 0}
-		for _, at := range []*string{&p.Listen, &p.Admin, &p.peersAt} {
-			if *at, err = free(); err != nil {
-				return nil, nil, err
-			}
+		if err := p.assignAddresses(); err != nil {
+			return nil, nil, err
 		}
 		if err := p.configure(0, 1, d.Addr(), []string{"n0"}, nil); err != nil {
 			return nil, nil, err
@@ -46,7 +44,7 @@
 		if err := p.Start(); err != nil {
 			return nil, nil, err
 		}
-		for end := time.Now().Add(patience); !p.Ready(); time.Sleep(pollEvery) {
+		for end := time.Now().Add(defaultPatience); !p.Ready(); time.Sleep(pollEvery) {
 			if time.Now().After(end) {
 				p.Signal(syscall.SIGKILL)
 				return nil, nil, fmt.Errorf("never ready: %s", p.Log())
--- a/internal/faults/discovery.go
+++ b/internal/faults/discovery.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// machineWeight is what each machine is listed with: as many requests as the rig has find room at few.
+// machineWeight is what each machine is listed with: as many requests as the harness has find room at few.
 const machineWeight = 4.0
 
 // Discovery is a stand-in list service for some machines.
--- a/internal/faults/machine.go
+++ b/internal/faults/machine.go
@@ -224,13 +224,44 @@
 
 // Move has it start at another address the next time.
 func (m *Machine) Move() error {
-	at, err := free()
+	at, err := freeAddress()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.addr = at
 	return err
 }
 
+// silence has it take requests and answer none from now on.
+func (m *Machine) silence() {
+	m.mu.Lock()
+	m.Silent = true
+	m.mu.Unlock()
+}
+
+// retire takes it away for good, and gives up its address.
+func (m *Machine) retire() (addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.trip != nil {
+		_ = m.trip.Close()
+		m.trip = nil
+	}
+	m.on, m.gone = false, true
+	return m.addr
+}
+
+// close ends all that listens at its address.
+func (m *Machine) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.server != nil {
+		_ = m.server.Close()
+	}
+	if m.trip != nil {
+		_ = m.trip.Close()
+	}
+}
+
 // Running tells whether it is on.
 func (m *Machine) Running() bool {
 	m.mu.Lock()
--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lilacglade/internal/workorder"
 )
 
 // Proc is one real process of the program, and its place.
@@ -37,6 +39,16 @@
 	Starts int
 }
 
+// assignAddresses has the process listen at addresses that are free.
+func (p *Proc) assignAddresses() (err error) {
+	for _, at := range []*string{&p.Listen, &p.Admin, &p.peersAt} {
+		if *at, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Write takes the process's log.
 func (p *Proc) Write(b []byte) (int, error) {
 	p.mu.Lock()
@@ -205,6 +217,17 @@
 	return os.WriteFile(filepath.Join(p.dir, "peers.yaml"), []byte(b.String()), 0o600)
 }
 
+// know has the process begin with a list from its next start on, as its configuration has it.
+func (p *Proc) know(list map[string]any) error {
+	p.config["known"] = list
+	return p.write()
+}
+
+// upgrade has the process be of this version from its next start on; downgrade, of the one before.
+func (p *Proc) upgrade() { p.level = 0 }
+
+func (p *Proc) downgrade() { p.level = workorder.LevelFirst }
+
 // write writes the process's configuration, for its next start or reload.
 func (p *Proc) write() error {
 	raw, err := json.Marshal(p.config)
