--- /dev/null
+++ b/internal/council/disk.go
@@ -0,0 +1,120 @@
+package council
+
+import (
+	"errors"
+
+	"lilacglade/internal/agree"
+	"lilacglade/internal/workorder"
+)
+
+// load begins with what is on the disk.
+func (c *Council) load(saved agree.Saved, note []byte) error {
+	c.rep = &replica{Work: workorder.New(), Voters: map[uint64]Voter{}}
+	c.lead = lead{}
+	if len(note) > 0 {
+		var n Note
+		if err := workorder.Decode(note, &n); err != nil {
+			return err
+		}
+		c.cluster = n.Cluster
+	}
+	c.kept = true
+	core, state, err := agree.Open(c.cfg.ID, saved)
+	if err != nil {
+		return err
+	}
+	if state != nil {
+		if err := c.install(state); err != nil {
+			return err
+		}
+	}
+	c.core = core
+	c.held = saved.Hard != nil && c.cfg.Boot > 1 && c.cfg.Without != BootCompare
+	clear(c.agreed)
+	return nil
+}
+
+func (c *Council) install(state []byte) error {
+	rep := &replica{}
+	if err := workorder.Decode(state, rep); err != nil {
+		return err
+	}
+	if rep.Work == nil {
+		return errors.New("a snapshot without a state")
+	}
+	rep.Work.Filled()
+	if rep.Work.Level > c.cfg.Level {
+		return ErrLater
+	}
+	if rep.Voters == nil {
+		rep.Voters = map[uint64]Voter{}
+	}
+	c.rep = rep
+	return nil
+}
+
+// diskLost gives up the vote, since a write failed.
+func (c *Council) diskLost() {
+	c.core = nil // it votes no more until the disk is back, and goes on as a party
+	c.lead = lead{}
+	c.kept, c.party.toldOnce = false, false // what stood behind the write was not done
+	if c.party.leaving && !c.party.left {   // the disk still knows what it would go on by
+		c.party.left = true
+		c.do(Left{})
+	}
+	c.do(Log{"the disk can't be written: this proxy gives up its vote until it can"})
+}
+
+// diskBack begins again with what is on a disk that can be written.
+func (c *Council) diskBack(ev DiskBack) {
+	c.cfg.ID, c.cfg.Boot = ev.ID, ev.Boot
+	if err := c.load(ev.Saved, ev.Note); err != nil {
+		c.core = nil
+		c.do(Retire{err.Error()})
+		return
+	}
+	if c.party.index > 0 {
+		c.keep()
+		c.known()
+	}
+}
+
+// adopt makes this proxy part of a log for good.
+func (c *Council) adopt(cluster uint64) {
+	if c.cluster != cluster {
+		c.cluster = cluster
+		c.keep()
+	}
+}
+
+// keep has the note kept. Guards against a party that says it knows what may go out, is killed, and goes on
+// without knowing it.
+func (c *Council) keep() {
+	n := Note{Cluster: c.cluster}
+	switch p := &c.party; {
+	case p.leaving || p.level < workorder.LevelResume && c.resume == nil:
+	case p.index == 0 && c.resume != nil: // nothing was heard yet: an earlier process's words still hold
+		n = *c.resume
+		n.Cluster = c.cluster
+	default:
+		n.Index, n.Named, n.Grace = p.index, p.named, p.grace
+	}
+	c.do(Keep{workorder.Encode(n)})
+}
+
+// ErrLater is of a log that this program is too old for.
+var ErrLater = errors.New("all other proxies understand more than this program: it takes no part, and is " +
+	"not ready; start a later one")
+
+// tooOld gives up the part in a log that this program does not understand.
+func (c *Council) tooOld() {
+	c.core, c.lead, c.resume = nil, lead{}, nil
+	c.do(Log{ErrLater.Error()})
+}
+
+func (c *Council) retire(why string) {
+	c.core = nil
+	c.lead = lead{}
+	c.cluster, c.resume = 0, nil
+	c.do(Retire{why})
+}
--- /dev/null
+++ b/internal/council/effects.go
@@ -0,0 +1,43 @@
+package council
+
+import (
+	"time"
+
+	"lilacglade/internal/agree"
+	"lilacglade/internal/workorder"
+)
+
+// Effect is something to do: a Persist, Keep, Send, Facts, Reply, Retire, Left or Log. If a Persist or Keep
+// fails, what is behind it is not done, and DiskLost is told.
+type Effect any
+
+type (
+	// Persist is to be on the disk, synced, before what comes behind it is done.
+	Persist struct{ Write *agree.Write }
+	// Keep is the same for the note.
+	Keep struct{ Note []byte }
+	// Send has a message sent to a peer; it may be lost. Addr is where it listens, "" if only the name is known.
+	Send struct {
+		To, Addr string
+		Raw      []byte
+	}
+	// Facts tells the reducer what holds now.
+	Facts struct {
+		Index  uint64
+		Marked []workorder.Mark // nothing new there
+		Named  []string         // nothing new there from Until on, and nothing at all Grace later
+		Until  time.Duration    // on the clock of now; 0: no lease yet, nothing new anywhere
+		Grace  time.Duration
+	}
+	// Reply ends an Asked.
+	Reply struct {
+		Token  uint64
+		Answer Answer
+	}
+	// Retire wants the disk set aside and a new identity: DiskBack follows.
+	Retire struct{ Why string }
+	// Left ends Leaving.
+	Left struct{}
+	// Log is a line for the operator.
+	Log struct{ Text string }
+)
--- /dev/null
+++ b/internal/council/events.go
@@ -0,0 +1,57 @@
+package council
+
+import (
+	"lilacglade/internal/agree"
+	"lilacglade/internal/workorder"
+)
+
+// Event is something that happened: a Tick, Received, Asked, Stopped, Inventory, Load, Leaving or DiskLost.
+type Event interface{ event() }
+
+type (
+	// Tick is due every TickEvery.
+	Tick struct{}
+	// Received brings a peer's message.
+	Received struct{ Raw []byte }
+	// Asked brings an operators' call; Reply with the token follows.
+	Asked struct {
+		Token uint64
+		Call  Call
+	}
+	// Stopped says up to where the reducer keeps to the Facts, and that it has nothing at these machines, of
+	// these grants.
+	Stopped struct {
+		Index uint64
+		Clear []workorder.Mark
+	}
+	// Inventory is the machines as discovery lists them now.
+	Inventory struct{ Machines []workorder.Seen }
+	// Load counts requests since the last Load, those that are in work at machines now, and what was measured.
+	Load struct {
+		Handled, Refused uint64
+		Busy             float64
+		Avoids           []string // machines that it has set aside
+		Hot              []string // machines where it sends a hot key
+		Rooms            []Room
+	}
+	// Leaving says that the proxy has ended all it had open; Left follows.
+	Leaving struct{}
+	// DiskLost says that a Write failed: nothing behind it was done.
+	DiskLost struct{}
+	// DiskBack says that the disk can be written again, and what is on it.
+	DiskBack struct {
+		ID, Boot uint64
+		Saved    agree.Saved
+		Note     []byte
+	}
+)
+
+func (Tick) event()      {}
+func (Received) event()  {}
+func (Asked) event()     {}
+func (Stopped) event()   {}
+func (Inventory) event() {}
+func (Load) event()      {}
+func (Leaving) event()   {}
+func (DiskLost) event()  {}
+func (DiskBack) event()  {}
--- a/internal/council/party.go
+++ b/internal/council/party.go
@@ -1,21 +1,57 @@
 package council
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
 	"lilacglade/internal/workorder"
 )
 
-// Forever is the end of a lease that never ends.
-const Forever = time.Duration(1<<63 - 1)
-
-// restTurn: of so many turns one goes to those who are not likely to vote: others may have the votes by now.
-const restTurn = 3
+// Times and bounds of a party's renewals.
+const (
+	joinEvery    = 300 * time.Millisecond // between two calls while there is no lease
+	busyMemory   = time.Second            // of the mean of what is in work
+	mostAvoids   = 16                     // machines that a proxy names as set aside, or as holding a hot key
+	roomsEach    = 16                     // machines whose room is told with one renewal; all come by turns
+	keptRenewals = 16                     // renewals whose answers still count
+	restTurn     = 3                      // one turn of so many goes to unlikely voters: they may vote by now
+)
 
-// keptRenewals bounds the renewals whose answers still count.
-const keptRenewals = 16
+// party is what this proxy knows as one that sends to machines.
+type party struct {
+	seq      uint64
+	sentAt   map[uint64]time.Duration // renewals that are out
+	renewAt  time.Duration            // the next
+	every    time.Duration
+	hint     string // who may lead
+	turn     int
+	until    time.Duration
+	index    uint64 // of what it was told
+	level    uint64 // of the log
+	reducer  uint64 // of what its reducer keeps to
+	knows    uint64 // up to which it says that it knows the state
+	heard    uint64 // the last renewal that was answered
+	urgent   uint64 // the leader should know soon that it does, from this index on
+	named    []string
+	marked   []workorder.Mark
+	clear    []workorder.Mark
+	grace    time.Duration
+	voters   []Voter
+	handled  uint64
+	refused  uint64
+	avoids   []string
+	hot      []string
+	busy     float64 // mean of busyNow over about busyMemory
+	busyNow  float64
+	busyAt   time.Duration
+	rooms    []Room
+	roomTurn int
+	leaving  bool
+	left     bool
+	told     Facts
+	toldOnce bool
+	began    time.Duration
+}
 
 // renew asks for the lease to go on, when it is time to.
 func (c *Council) renew() {
@@ -46,6 +82,17 @@
 	p.handled, p.refused = 0, 0
 }
 
+// load takes in what was counted and measured since the last time.
+func (p *party) load(now time.Duration, ev Load) {
+	p.handled += ev.Handled
+	p.refused += ev.Refused
+	p.avoids = ev.Avoids[:min(len(ev.Avoids), mostAvoids)]
+	p.hot = ev.Hot[:min(len(ev.Hot), mostAvoids)]
+	p.rooms = ev.Rooms
+	p.mean(now)
+	p.busyNow = ev.Busy
+}
+
 // mean lets the mean of what is in work follow up to now.
 func (p *party) mean(now time.Duration) {
 	if age := now - p.busyAt; age > 0 {
@@ -76,8 +123,8 @@
 func (c *Council) leaderOr(turn int) (name, addr string) {
 	// Guards against asking for good who led when this one lost its vote: it hears no more of elections.
 	if c.core != nil && !c.held && slices.Contains(c.core.Voters(), c.cfg.ID) {
-		if v, ok := c.voter(c.core.Leader()); ok && c.core.Leader() != 0 {
-			return v.Name, v.Addr
+		if leader, ok := c.leader(); ok {
+			return leader.Name, leader.Addr
 		}
 	}
 	addrs := map[string]string{}
@@ -128,35 +175,58 @@
 		if !mine {
 			return // an old answer, or to another process
 		}
-		delete(p.sentAt, l.Seq)
-		if l.Leader == e.From { // guards against taking its own answer, while it knows of no leader, for one
-			p.heard = max(p.heard, l.Seq)
-		}
-		if l.Again {
+		p.renewalAnswered(e.From, l)
+	}
+	if c.dismissed(l) {
+		return
+	}
+	c.informed(l)
+	if mine && l.For > 0 && l.Index != 0 {
+		c.extend(l, sent)
+	}
+}
+
+// renewalAnswered notes whom the answer to a renewal came from, and who leads by it.
+func (p *party) renewalAnswered(from string, l *Lease) {
+	delete(p.sentAt, l.Seq)
+	if l.Leader == from { // guards against taking its own answer, while it knows of no leader, for one
+		p.heard = max(p.heard, l.Seq)
+	}
+	if l.Again {
+		p.renewAt = 0
+	}
+	if l.Seq == p.seq && l.Leader != "" && l.Leader != p.hint {
+		p.hint = l.Leader
+		if l.For == 0 && l.Leader != from {
 			p.renewAt = 0
 		}
-		if l.Seq == p.seq && l.Leader != "" && l.Leader != p.hint {
-			p.hint = l.Leader
-			if l.For == 0 && l.Leader != e.From {
-				p.renewAt = 0
-			}
-		} else if l.Leader == "" {
-			p.hint = ""
-			p.turn++
-		}
+	} else if l.Leader == "" {
+		p.hint = ""
+		p.turn++
 	}
+}
+
+// dismissed tells whether an answer ends this party or the identity on its disk: there is no lease in it.
+func (c *Council) dismissed(l *Lease) bool {
+	p := &c.party
 	switch {
 	case l.Retire && p.leaving:
-		return // an earlier call of this party came to the leader after it had left: its disk is as it should be
+		return true // an earlier call of this party came after it had left: its disk is as it should be
 	case l.Retire:
 		c.retire("the disk is older than what the log knows of it")
-		return
+		return true
 	case l.Left && p.leaving && !p.left:
 		p.left = true
 		c.do(Left{})
-		return
+		return true
 	}
-	if l.Index > p.index { // agreed for good, whoever tells it
+	return false
+}
+
+// informed takes in the state that was agreed on. It is so for good, whoever tells it.
+func (c *Council) informed(l *Lease) {
+	p := &c.party
+	if l.Index > p.index {
 		news := !slices.Equal(p.named, l.Named) || p.level != l.Level
 		if news {
 			p.urgent = l.Index
@@ -171,14 +241,16 @@
 		p.voters = l.Voters
 	}
 	p.grace = max(p.grace, l.Grace)
-	if !mine || l.For <= 0 || l.Index == 0 {
-		return
-	}
+}
+
+// extend has the lease last from when its renewal was sent: the leader counts from later on.
+func (c *Council) extend(l *Lease, sent time.Duration) {
+	p := &c.party
 	p.every = max(joinEvery, l.Every)
 	if c.cfg.Without == SentCount {
 		sent = c.now
 	}
-	p.until = max(p.until, sent+l.For) // from when it was sent: the leader counts from later on
+	p.until = max(p.until, sent+l.For)
 	votes := c.core != nil && !c.core.Changing() && slices.Contains(c.core.Voters(), c.cfg.ID)
 	if votes && l.Index >= c.rep.Work.Index &&
 		!slices.ContainsFunc(l.Voters, func(v Voter) bool { return v.ID == c.cfg.ID }) {
@@ -186,95 +258,18 @@
 	}
 }
 
-// stopped takes in what the reducer says. Guards against telling the leader that something is known that
-// still lies before the reducer: a process paused just then would go on by what it knew before.
-func (c *Council) stopped(ev Stopped) {
+// leave ends this party. Guards against a next process that goes on by what the disk knew: nobody waits for
+// this party's word any more once it has left.
+func (c *Council) leave() {
 	p := &c.party
-	p.reducer = max(p.reducer, ev.Index)
-	c.known()
-	if p.urgent > 0 && p.knows >= p.urgent {
-		p.urgent, p.renewAt = 0, 0
-	}
-	if !slices.Equal(p.clear, ev.Clear) {
-		p.clear, p.renewAt = slices.Clone(ev.Clear), 0
+	p.leaving, p.renewAt, c.resume = true, 0, nil
+	if c.core != nil && c.core.Leads() {
+		c.core.Yield()
 	}
-}
-
-// known notes up to where this party may say that it knows the state: its reducer keeps to it, and the disk
-// knows what is named.
-func (c *Council) known() {
-	if p := &c.party; c.kept || p.level < workorder.LevelResume {
-		p.knows = max(p.knows, min(p.reducer, p.index))
-	}
-}
-
-// tell tells the reducer what holds, when it has changed.
-func (c *Council) tell() {
-	p := &c.party
-	f := Facts{Index: p.index, Marked: p.marked, Named: p.named, Until: p.until, Grace: p.grace}
-	if r := c.resume; r != nil && f.Until == 0 && p.began > 0 && c.now-p.began >= resumeAfter {
-		// As if its lease had run out: what it doesn't hold can't be told free, since the log waits for the word
-		// of the process that was here before, or for this one's.
-		if f.Until = 1; f.Index < r.Index {
-			f.Index, f.Named, f.Marked, f.Grace = r.Index, r.Named, nil, r.Grace
-		}
-		if p.told.Until == 0 {
-			c.do(Log{fmt.Sprintf("no lease yet: serves by what was known here at entry %d, and sends nothing to the "+
-				"%d machines that might go out", f.Index, len(f.Named))})
-		}
-	}
-	if f.Until == 0 && c.cfg.AloneAfter > 0 && p.began > 0 && c.now-p.began >= c.cfg.AloneAfter {
-		f.Until = Forever
-		if p.told.Until != Forever {
-			c.do(Log{fmt.Sprintf("no lease after %v: serves alone, as configured, and can't know which machines "+
-				"are out", c.cfg.AloneAfter)})
-		}
-	}
-	if p.toldOnce && f.Index == p.told.Index && f.Until == p.told.Until && f.Grace == p.told.Grace {
-		return
-	}
-	p.told, p.toldOnce = f, true
-	c.do(f)
-}
-
-// ask takes an operators' call.
-func (c *Council) ask(ev Asked) {
-	if ev.Call.ID == "" {
-		c.do(Reply{ev.Token, Answer{Err: "id: not set"}})
-		return
-	}
-	if len(c.calls) >= mostCalls {
-		c.do(Reply{ev.Token, Answer{ID: ev.Call.ID, Err: "too many calls are in work here"}})
-		return
-	}
-	if old := c.calls[ev.Call.ID]; old != nil { // the same call again, while the first is out
-		c.do(Reply{old.token, Answer{ID: ev.Call.ID, Err: "asked again meanwhile"}})
-	}
-	p := &pending{token: ev.Token, call: ev.Call, until: c.now + askFor}
-	c.calls[ev.Call.ID] = p
-	c.pass(p)
-}
-
-// pass passes an operators' call on to the leader.
-func (c *Council) pass(p *pending) {
-	p.sentAt = c.now
-	to, addr := c.leaderOr(c.party.turn)
-	call := p.call
-	c.send(to, addr, &Envelope{Call: &call})
-}
-
-func (c *Council) answered(a *Answer) {
-	p := c.calls[a.ID]
-	if p == nil {
-		return
-	}
-	if !a.Done && a.Err == "" { // whom it was passed on to doesn't lead
-		if a.Leader != "" && a.Leader != c.party.hint {
-			c.party.hint = a.Leader
-			c.pass(p)
-		}
+	if !c.kept && p.level >= workorder.LevelResume {
+		p.left = true // it is found out by its lease
+		c.do(Left{})
 		return
 	}
-	delete(c.calls, a.ID)
-	c.do(Reply{p.token, *a})
+	c.keep()
 }
--- /dev/null
+++ b/internal/council/status.go
@@ -0,0 +1,57 @@
+package council
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Status words how things stand, for operators.
+func (c *Council) Status() string {
+	var b strings.Builder
+	work, v := c.rep.Work, c.view()
+	fmt.Fprintf(&b, "index %d leader %s term %d voters", work.Index, c.cfg.Name, c.lead.term)
+	for _, id := range slices.Sorted(maps.Keys(c.rep.Voters)) {
+		fmt.Fprintf(&b, " %s", c.rep.Voters[id].Name)
+	}
+	b.WriteByte('\n')
+	room := 0.0
+	for _, m := range v.Machines {
+		if m.Ready {
+			room += m.Room
+		}
+	}
+	fmt.Fprintf(&b, "level %d busy %.3g of room for %.3g requests, %.2g refused\n", work.Level, v.Busy, room,
+		v.Refused)
+	for _, key := range slices.Sorted(maps.Keys(work.Parties)) {
+		p := work.Parties[key]
+		age := "never"
+		if at, ok := c.lead.renewed[key]; ok {
+			age = (c.now - at).Round(TickEvery).String() + " ago"
+		}
+		fmt.Fprintf(&b, "proxy %s knows %d renewed %s", key, p.Known(), age)
+		if p.Gone {
+			b.WriteString(" gone")
+		}
+		b.WriteByte('\n')
+	}
+	for _, o := range work.Orders {
+		fmt.Fprintf(&b, "order %s most %d keep %.3g", o.ID, o.Most, o.Keep)
+		if o.Paused {
+			b.WriteString(" paused")
+		}
+		if o.Ended {
+			b.WriteString(" cancelled")
+		}
+		b.WriteByte('\n')
+	}
+	for _, w := range work.Works {
+		fmt.Fprintf(&b, "machine %s %v number %d order %s", w.Machine.ID, w.Step, w.Number, w.Order)
+		if why := work.Waits(w, v); why != "" {
+			fmt.Fprintf(&b, " why %s", why)
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
