workorder: one file for each concern

Need: workorder.go had 726 lines, from the steps' names to the guards of a grant. Changed: step.go, machine.go, order.go, party.go, command.go and guards.go hold what they are named after; workorder.go keeps the state and how an entry is applied. May, of 60 lines, asks withinLimits, hasOut and voterOut for the parts that have a name; the order of its checks, its words, and all encoded forms are as they were.

--- /dev/null
+++ b/internal/workorder/order.go
@@ -0,0 +1,123 @@
+package workorder
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Order is staff's order.
+type Order struct {
+	ID       string        `cbor:"1,keyasint"`
+	Machines []Machine     `cbor:"2,keyasint"`
+	Most     int           `cbor:"3,keyasint"`           // out at once, in all orders together
+	MostZone int           `cbor:"4,keyasint,omitempty"` // of one zone; 0: as Most
+	MostKind int           `cbor:"5,keyasint,omitempty"` // of one model; 0: as Most
+	Keep     float64       `cbor:"6,keyasint"`           // part of the fleet's weight that must stay in service
+	Fleet    float64       `cbor:"7,keyasint"`           // the fleet's weight when the order was taken in
+	OutFor   time.Duration `cbor:"8,keyasint,omitempty"` // longer than this out is failed; 0: no bound
+	Said     bool          `cbor:"9,keyasint,omitempty"` // done when staff say so, not when it starts anew
+	Paused   bool          `cbor:"10,keyasint,omitempty"`
+	Ended    bool          `cbor:"11,keyasint,omitempty"` // cancelled: nothing more is granted
+	Margin   float64       `cbor:"12,keyasint,omitempty"` // measured room beyond what is in work that must stay
+}
+
+// mostMargin bounds an order's margin: more is a slip of the pen.
+const mostMargin = 10.0
+
+// check says what is wrong with an order by itself.
+func (o *Order) check() error {
+	switch {
+	case o == nil || o.ID == "":
+		return errors.New("id: not set")
+	case len(o.Machines) == 0:
+		return errors.New("machines: none")
+	case o.Most < 1:
+		return fmt.Errorf("most: %d, want at least 1", o.Most)
+	case o.MostZone < 0 || o.MostKind < 0:
+		return fmt.Errorf("most-zone, most-kind: %d, %d, want at least 0", o.MostZone, o.MostKind)
+	case !(o.Keep >= 0 && o.Keep < 1):
+		return fmt.Errorf("keep: %v, want a part from 0 to under 1", o.Keep)
+	case o.OutFor < 0:
+		return fmt.Errorf("out-for: %v, want at least 0", o.OutFor)
+	case !(o.Margin >= 0 && o.Margin <= mostMargin):
+		return fmt.Errorf("margin: %v, want 0 to %v", o.Margin, mostMargin)
+	}
+	seen := map[string]bool{}
+	for _, m := range o.Machines {
+		if (m.Proxy == "") != (o.Machines[0].Proxy == "") {
+			return errors.New("machines: proxies and album servers want an order each")
+		}
+		if m.ID == "" || seen[m.ID] {
+			return fmt.Errorf("machines: %q is empty or repeated", m.ID)
+		}
+		seen[m.ID] = true
+	}
+	return nil
+}
+
+// submit takes in an order: all of it or nothing.
+func (s *State) submit(o *Order) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	if s.Order(o.ID) != nil {
+		return fmt.Errorf("id: an order %q was given before", o.ID)
+	}
+	for _, m := range o.Machines {
+		if w := s.Active(m.ID); w != nil {
+			return fmt.Errorf("machines: %q is in order %q", m.ID, w.Order)
+		}
+	}
+	s.Orders = append(s.Orders, o)
+	for _, m := range o.Machines {
+		s.Works = append(s.Works, &Work{Order: o.ID, Machine: m})
+	}
+	s.tidy()
+	return nil
+}
+
+// order pauses, resumes or cancels an order.
+func (s *State) order(c Command) error {
+	o := s.Order(c.Name)
+	if o == nil {
+		return fmt.Errorf("order %q: unknown", c.Name)
+	}
+	switch {
+	case o.Ended:
+		return fmt.Errorf("order %q: cancelled", c.Name)
+	case c.Kind == Pause:
+		o.Paused = true
+	case c.Kind == Resume:
+		o.Paused = false
+	default:
+		// What is free or out stays marked until staff say that it is back; nobody can have begun on the rest.
+		o.Ended = true
+		for _, w := range s.Works {
+			if w.Order == o.ID && w.Step < Free {
+				s.to(w, Cancelled, "the order was cancelled")
+			}
+		}
+	}
+	return nil
+}
+
+// keptWorks bounds the machines remembered that orders are through with.
+const keptWorks = 1024
+
+// tidy forgets the machines that orders are through with, the oldest first, and orders of which none is
+// left. An order's id is free again then.
+func (s *State) tidy() {
+	over := len(s.Works) - keptWorks
+	s.Works = slices.DeleteFunc(s.Works, func(w *Work) bool {
+		if over > 0 && w.Step.Ended() {
+			over--
+			return true
+		}
+		return false
+	})
+	s.Orders = slices.DeleteFunc(s.Orders, func(o *Order) bool {
+		return !slices.ContainsFunc(s.Works, func(w *Work) bool { return w.Order == o.ID })
+	})
+}
