Have the upgrade test tell each answer that is not 200

The test said '24370 of 24371 requests served' and neither which request nor why. Each answer other than 200 now fails the test by itself, with the request's id, status, Retry-After, body and time, and with the lines of each process that name the request. The check is as strict as before: all requests must be served. The trace's A line ends with the request's name, so that a request that a client saw can be found in it.

--- a/cmd/lilacglade/upgrade_test.go
+++ b/cmd/lilacglade/upgrade_test.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // platform holds the listening socket, as one that upgrades does.
@@ -83,7 +84,9 @@
 	addr := listening(t, p.socket)
 	n, admin := p.start()
 	p.serves(n, admin)
+	nodes := []*node{n}
 	var asked, served atomic.Int64
+	var unserved refusals
 	var ends atomic.Bool
 	var callers sync.WaitGroup
 	stop := sync.OnceFunc(func() { ends.Store(true); callers.Wait() })
@@ -103,10 +106,13 @@
 				if res, err := client.Do(req); err != nil {
 					t.Errorf("request %d-%d: %v", c, i, err)
 				} else {
-					if io.Copy(io.Discard, res.Body); res.StatusCode == 200 {
+					body, _ := io.ReadAll(res.Body)
+					res.Body.Close()
+					if res.StatusCode == 200 {
 						served.Add(1)
+					} else {
+						unserved.add(req.Header.Get("Request-Id"), res, body)
 					}
-					res.Body.Close()
 				}
 			}
 		}()
@@ -116,6 +122,7 @@
 			return func() bool { return served.Load() > from+50 }
 		}(served.Load()))
 		next, admin := p.start()
+		nodes = append(nodes, next)
 		p.serves(next, admin)
 		if !strings.Contains(next.log.String(), "took over") {
 			t.Error("nothing was taken over")
@@ -130,6 +137,40 @@
 	if asked.Load() != served.Load() {
 		t.Errorf("%d of %d requests served", served.Load(), asked.Load())
 	}
+	unserved.report(t, nodes)
+}
+
+// refusal is an answer other than 200, as its client got it.
+type refusal struct{ id, answer string }
+
+// refusals collects such answers from several clients.
+type refusals struct {
+	mu   sync.Mutex
+	list []refusal
+}
+
+// add notes the answer to a request.
+func (r *refusals) add(id string, res *http.Response, body []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, refusal{id, fmt.Sprintf("%d, Retry-After %q, closing %t, body %.200q, at %s",
+		res.StatusCode, res.Header.Get("Retry-After"), res.Close, body, time.Now().Format("15:04:05.000000"))})
+}
+
+// report fails the test for each answer, with what the processes logged of its request.
+func (r *refusals) report(t *testing.T, nodes []*node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range r.list {
+		t.Errorf("request %s: %s", one.id, one.answer)
+		for i, n := range nodes {
+			for _, line := range strings.Split(n.log.String(), "\n") {
+				if strings.Contains(line, fmt.Sprintf("%q", one.id)) {
+					t.Logf("process %d, pid %d: %s", i, n.cmd.Process.Pid, line)
+				}
+			}
+		}
+	}
 }
 
 // listening is the address of a listening socket.
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -134,7 +134,7 @@
 		s.clock.add(r.deadline, func() { s.overdue(r) })
 	}
 	if s.cfg.Trace != nil {
-		s.trace("A %d class %d by %d", r.id, r.class, (r.deadline - s.now).Milliseconds())
+		s.trace("A %d class %d by %d name %q", r.id, r.class, (r.deadline - s.now).Milliseconds(), r.name)
 	}
 	s.tell(lg.Request{ID: r.id, Class: ev.Class, Tenant: ev.Tenant, Key: ev.Key, HasKey: ev.HasKey,
 		Budget: max(0, r.deadline-s.now), Cost: ev.Cost, Repeat: ev.Repeat, Stream: ev.Stream})
