Judge a held request by what is known when it is looked at again

What callers saw: 503 with Retry-After 1 in the first half second of a process, at a server that answered in milliseconds; about one such answer in thirteen runs of TestUpgradeUnderLoad.

Cause: a request that finds the only server crowded is held and looked at again after 50 ms. Its work was guessed once, as it came: of a class of which nothing is known yet, a quarter of its aim, 100 ms. Its chance of being refused is by that guess times the server's slowness, which is relative to the work as learned since, 0.9 ms. One answer of 13 ms made the slowness 3.4 and the expected answer 342 ms, of which 62 % are refused; the product of two figures with different units, where 3 ms was right.

Evidence: caught in the trace of two runs of 27 with three copies of the test beside each other: the fifth and the sixth request of the first process, both held, both refused at a look with a slot free. Replaying the first trace's events into the module gives the figures above.

Change: at each renewed look the request's work, rank and place among the arrivals are estimated anew.

--- a/balancer.go
+++ b/balancer.go
@@ -311,7 +311,7 @@
 		return
 	}
 	r := &request{Request: ev, class: &b.set.Classes[ev.Class], key: mix(ev.Key), arrived: b.now,
-		deadline: b.now + ev.Budget, work: b.works[ev.Class].at(ev.Cost.Seconds()), most: b.set.MaxAttempts}
+		deadline: b.now + ev.Budget, most: b.set.MaxAttempts}
 	if !ev.HasKey {
 		r.key = b.random()
 	}
@@ -321,10 +321,9 @@
 			b.tenants[ev.Tenant]++
 		}
 	}
-	b.arrived += r.work
-	b.meanWork += (r.work - b.meanWork) * fitGain
 	r.elapsed = b.firsts[ev.Class].elapsed(ev.Budget, r.class.Deadline)
-	r.rank, r.wanted = b.rank(r)
+	b.estimate(r)
+	b.meanWork += (r.work - b.meanWork) * fitGain
 	b.counts[r.key%hotCounts]++
 	b.counted++
 	b.retries = min(retryStock, max(0, b.retries)+retryShare)
@@ -332,6 +331,16 @@
 	b.dispatch(r)
 }
 
+// estimate takes what was learned up to now into what r takes and what it is worth for that. Guards against
+// refusing a held request where there is room: its work as first guessed, times how much slower the server is
+// than what was learned since.
+func (b *Balancer) estimate(r *request) {
+	work := b.works[r.Class].at(r.Cost.Seconds())
+	b.arrived += work - r.work
+	r.work = work
+	r.rank, r.wanted = b.rank(r)
+}
+
 // worth is a request's worth for each unit of work.
 func (b *Balancer) worth(class int, over bool) float64 {
 	w := b.set.Classes[class].Worth
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -880,3 +880,48 @@
 		}
 	}
 }
+
+// TestHeldRequestIsJudgedByWhatWasLearnt covers requests that come before anything was learnt of their class
+// and find the only server crowded: once there is room they are sent, since what answers take by then, a slow
+// one included, is far within their aim. Guards against holding the first guess of a request's work
+// against them, which is a hundred times as much here.
+func TestHeldRequestIsJudgedByWhatWasLearnt(t *testing.T) {
+	refused := 0
+	for seed := range uint64(100) {
+		p := newProxy(t, testSettings(), seed, fleet(1)...)
+		ask := func(id RequestID) Request { return Request{ID: id, Class: 4, Budget: time.Second} }
+		answer := func(id RequestID, took time.Duration) {
+			p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Latency: took,
+				Load: LoadReport{N: 1, Values: [4]float64{1}}})
+		}
+		const held = RequestID(crowd)
+		for id := range held {
+			p.one(Send, ask(id))
+		}
+		if acts := p.do(ask(held)); len(acts) > 0 {
+			t.Fatalf("seed %d: got %+v for a request beyond the crowd", seed, acts)
+		}
+		p.now += ms
+		for id := range held {
+			answer(id, ms)
+		}
+		for i := range RequestID(21) { // one at a time, of which the last is slow
+			took := ms / 2
+			if i == 20 {
+				took = 30 * ms
+			}
+			p.one(Send, ask(held+1+i))
+			p.now += took
+			answer(held+1+i, took)
+		}
+		p.now += 9 * ms // it has waited for holdFor
+		if acts := p.do(Timer{Token: firstToken + 1}); len(acts) != 1 || acts[0].Request != held {
+			t.Fatalf("seed %d: got %+v once there was room", seed, acts)
+		} else if acts[0].Do != Send {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 100 held requests were refused at a server with room", refused)
+	}
+}
--- a/membership.go
+++ b/membership.go
@@ -21,6 +21,7 @@
 		b.acts = append(b.acts, Action{Do: Subscribe})
 	default:
 		if r := b.requests[b.held[token]]; r != nil && !r.answered && r.out == 0 {
+			b.estimate(r)
 			b.dispatch(r)
 		}
 		delete(b.held, token)
