Log each request that is refused or failed, at most one line a second

A client that got 503, 502 or 504 could not be told why: the log named neither the request nor what had been tried. The final answer now carries how long the reducer had the request, its attempts and the last one's result, and the log has a line with them and the request's id, at most one a second with the number of those in between.

--- a/internal/legs/effects.go
+++ b/internal/legs/effects.go
@@ -29,6 +29,7 @@
 				g.write(p.pass(f, g, f.m.BackHead(fieldLoad, f.length, f.old, e.Last)))
 				return
 			}
+			p.observed.unserved(g, e, p.now())
 			g.write(job{bufs: answer(e), by: e.At, report: true})
 		}
 	case proxystate.EaseCaller:
--- a/internal/legs/observe.go
+++ b/internal/legs/observe.go
@@ -32,6 +32,7 @@
 	clock     wallclock.Monitor
 	clockDue  time.Duration
 	unwritten logburst.Limiter
+	refused   logburst.Limiter
 	calls     logburst.Limiter
 	slow      logburst.Limiter
 	wrong     time.Duration // what was logged last of the wall clock at the start
@@ -40,7 +41,7 @@
 
 func newObserver() observer {
 	every := logburst.Limiter{Every: faultsEvery}
-	return observer{unwritten: every, calls: every, slow: every}
+	return observer{unwritten: every, refused: every, calls: every, slow: every}
 }
 
 // lookAtClock logs a step of the wall clock. Nothing depends on it.
@@ -121,6 +122,25 @@
 	}
 }
 
+// unserved takes in an answer that is about to be written. One that is no server's, to a request that was
+// taken, is logged with what had been tried, so that an operator can tell why a client was turned away.
+func (o *observer) unserved(g *leg, e proxystate.Effect, now time.Duration) {
+	u, ok := e.Payload.(proxystate.Unserved)
+	if !ok {
+		return
+	}
+	more, ok := o.refused.Allow(now)
+	if !ok {
+		return
+	}
+	tried := "nothing was sent to a server"
+	if u.Attempts > 0 {
+		tried = fmt.Sprintf("%d attempts, last result %s", u.Attempts, u.Last)
+	}
+	log.Printf("request %q is answered %q after %v: %s (%d more since the last line)", g.asked, e.Verdict,
+		rounded(u.Took), tried, more)
+}
+
 // clientLeft tells whether an answer was not written because the other side has gone.
 func clientLeft(err error) bool {
 	for _, left := range []error{net.ErrClosed, io.EOF, netpoll.ErrConnClosed, netpoll.ErrEOF, syscall.EPIPE,
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -117,8 +117,8 @@
 	}
 	c.over = false
 	s.lastID++
-	r := &request{id: s.lastID, name: ev.Name, class: ev.Class, caller: c, deadline: ev.Deadline - margin,
-		payload: ev.Payload, count: s.began(s.counts.classes[ev.Class])}
+	r := &request{id: s.lastID, name: ev.Name, class: ev.Class, caller: c, came: s.now,
+		deadline: ev.Deadline - margin, payload: ev.Payload, count: s.began(s.counts.classes[ev.Class])}
 	r.unsafe = s.cfg.Settings.Classes[ev.Class].Effect == lg.Unsafe
 	if r.stream, r.may = ev.Stream, ev.May; ev.HasKey {
 		r.key = ev.Key
@@ -165,6 +165,9 @@
 	if e.Verdict == Broken && r.late {
 		e.Verdict = Late
 	}
+	if e.Verdict != Served && e.Payload == nil {
+		e.Payload = Unserved{Took: s.now - r.came, Attempts: r.sent, Last: r.result}
+	}
 	if s.cfg.Trace != nil {
 		s.trace("F %d %s", r.id, verdicts[e.Verdict])
 	}
--- a/internal/proxystate/events.go
+++ b/internal/proxystate/events.go
@@ -246,6 +246,9 @@
 // Verdict is the kind of an answer.
 type Verdict uint8
 
+// String is the verdict's name in logs and traces.
+func (v Verdict) String() string { return verdicts[v] }
+
 // The verdicts.
 const (
 	Served   Verdict = iota // Payload is the next hop's answer
@@ -259,6 +262,13 @@
 	TooSlow                 // the request took too long to come in
 )
 
+// Unserved is the Payload of a request's final answer that is no server's: what a log is to tell of it.
+type Unserved struct {
+	Took     time.Duration // from when the reducer was told of the request
+	Attempts int
+	Last     lg.Result // of the last attempt that ended; no matter where there was none
+}
+
 // Effect is something to carry out. Which fields count depends on Do.
 type Effect struct {
 	Do      Do
--- a/internal/proxystate/hops.go
+++ b/internal/proxystate/hops.go
@@ -164,7 +164,7 @@
 // end takes a branch from its request and tells the Balancer how it went.
 func (s *State) end(b *branch, res lg.Result, load lg.LoadReport) {
 	r := b.req
-	r.branch = nil
+	r.branch, r.result = nil, res
 	if b.leg != nil {
 		s.pool.Learn(s.now, b.leg.Leg, ends[res])
 		b.leg.branch = nil
--- a/internal/proxystate/state.go
+++ b/internal/proxystate/state.go
@@ -117,14 +117,16 @@
 	unsafe   bool
 	caller   *caller // nil once it has left
 	count    *Handled
-	key      uint64 // 0: none
+	key      uint64        // 0: none
+	came     time.Duration // when it was told here
 	deadline time.Duration
 	reachBy  time.Duration // a next hop should have it whole by then
 	reached  bool          // one had it whole
 	payload  any
-	branch   *branch // the one that is out
-	sent     int     // branches so far
-	mayRun   bool    // a branch may have run: this one
+	branch   *branch   // the one that is out
+	sent     int       // branches so far
+	result   lg.Result // of the last one that ended
+	mayRun   bool      // a branch may have run: this one
 	ran      sendguard.Ran
 	late     bool          // a branch has timed out
 	stream   bool          // it is passed on as it comes in,
