Bound what one answer says of how slow a server is

Cause: the latest answers of a server count as a multiple of the work that was expected of each as it came (172 ms over 0.35 ms: 494). The same answers raise the work expected of the class (from 0.35 to 7.4 ms by four of them). The product said 1.8 s, where no answer had taken more than 215 ms.

Change: one answer counts as 20 times what was expected at the most.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -925,3 +925,44 @@
 		t.Errorf("%d of 100 held requests were refused at a server with room", refused)
 	}
 }
+
+// TestStallIsNotCountedTwice covers answers that all took far longer than any before, as after a pause of the
+// machine, and yet were in time: what comes next is sent. Guards against a slowness that is relative to what
+// was expected of those answers, times an expectation that they have raised since.
+func TestStallIsNotCountedTwice(t *testing.T) {
+	refused := 0
+	for seed := range uint64(100) {
+		p := newProxy(t, testSettings(), seed, fleet(1)...)
+		var last RequestID
+		round := func(took time.Duration) { // as many at once as the server may have
+			var sent []RequestID
+			for range int(crowd) {
+				last++
+				for _, a := range p.do(Request{ID: last, Class: 4, Budget: time.Second}) {
+					if a.Do == Refuse {
+						refused++
+					} else {
+						sent = append(sent, a.Request)
+					}
+				}
+			}
+			p.now += took
+			for _, id := range sent {
+				p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Latency: took,
+					Load: LoadReport{N: 1, Values: [4]float64{1}}})
+			}
+		}
+		before := refused
+		for range 100 {
+			round(ms)
+		}
+		if refused > before {
+			t.Fatalf("seed %d: %d refused before the stall", seed, refused-before)
+		}
+		round(180 * ms)
+		round(ms)
+	}
+	if refused > 0 {
+		t.Errorf("%d of 400 requests were refused after answers that were in time", refused)
+	}
+}
--- a/load.go
+++ b/load.go
@@ -69,10 +69,14 @@
 	paceMemory = time.Second
 	paceGain   = 0.2 // weight of one answer among several within that time
 	paceWeight = 0.5 // what a fresh pace counts against what load lets expect
+	// paceMost bounds what one answer says. Guards against counting twice one that took hundreds of times what
+	// was expected, as after a pause of the machine: it raises what is expected of the next as well.
+	paceMost = 20.0
 )
 
 // add takes in one answer, or an attempt that waited as long in vain, which tells nothing if that was short.
 func (p *pace) add(took float64, answered bool, now time.Duration) {
+	took = min(took, paceMost)
 	if !answered && took <= p.mean {
 		return
 	}
