Send a held request when an attempt ends, not only when it is looked at

Cause: a request that finds its server crowded, four of this proxy's attempts out, is looked at again each 50 ms only. In between the other clients' requests come and go hundreds of times; when all four places are taken at each look, its aim passes and it is refused.

Change: a request that was looked at once in vain is sent when an attempt ends at a server that may take it: the room is an event, no chance of the moment. That holds where the expected answer is shorter than the pause between two looks. Where answers take longer, as in overload, all is as before.

The new test forces it: clients who ask again at once take each free place, and only the looks find all taken. Before the change the held request was not sent in four looks; now it is.

--- a/balancer.go
+++ b/balancer.go
@@ -409,9 +409,7 @@
 			b.refuse(r) // waiting here would only move the queue
 			return
 		}
-		b.token = max(b.token+1, firstToken)
-		b.held[b.token] = r.ID
-		b.timer(min(holdFor, left), b.token)
+		b.hold(r)
 		return
 	}
 	held := b.inFlight(s) + 1
@@ -445,6 +443,46 @@
 	b.acts = append(b.acts, Action{Do: Send, Request: r.ID, Server: s.ID, For: limit, Within: within})
 }
 
+// hold has r looked at again after a while, and if that was in vain, also when attempts end.
+func (b *Balancer) hold(r *request) {
+	b.token = max(b.token+1, firstToken)
+	b.held[b.token] = r.ID
+	b.timer(min(holdFor, r.deadline-b.now), b.token)
+	if r.held && !r.waits {
+		b.firstWaiting() // guards against a list that grows while no attempt ends
+		r.waits = true
+		b.waiting = append(b.waiting, r.ID)
+	}
+	r.held = true
+}
+
+// firstWaiting returns the first of the waiting requests, nil if there is none, and forgets those that ended.
+func (b *Balancer) firstWaiting() *request {
+	for len(b.waiting) > 0 {
+		if r := b.requests[b.waiting[0]]; r != nil && !r.answered && len(r.tried) == 0 {
+			return r
+		}
+		b.waiting = b.waiting[1:]
+	}
+	return nil
+}
+
+// resume has the first of the waiting requests sent if s may take it, now that an attempt there has ended.
+// Guards against one that finds no room at each look, since requests that come later take all that is free in
+// between: it was refused in the end. That is so only where answers take less time than passes between two
+// looks; where they take longer, those that have waited would make the others late.
+func (b *Balancer) resume(s *server) {
+	r := b.firstWaiting()
+	if r == nil || !b.may(s, r, true) {
+		return
+	}
+	b.estimate(r)
+	if b.answerIn(r, b.slowness(s, b.inFlight(s)+1)) < holdFor.Seconds() {
+		b.waiting, r.waits = b.waiting[1:], false
+		b.dispatch(r)
+	}
+}
+
 // refuse turns r away before it was sent anywhere.
 func (b *Balancer) refuse(r *request) {
 	b.refused++
@@ -489,6 +527,9 @@
 		return
 	}
 	r.out--
+	if s != nil {
+		defer b.resume(s)
+	}
 	if ev.Closed || r.answered {
 		b.end(r)
 		return
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -882,8 +882,8 @@
 }
 
 // TestHeldRequestIsJudgedByWhatWasLearnt covers requests that come before anything was learnt of their class
-// and find the only server crowded: once there is room they are sent, since what answers take by then, a slow
-// one included, is far within their aim. Guards against holding the first guess of a request's work
+// and find the only server crowded: once there is room they are sent, since what answers take by then, the
+// slow ones included, is far within their aim. Guards against holding the first guess of a request's work
 // against them, which is a hundred times as much here.
 func TestHeldRequestIsJudgedByWhatWasLearnt(t *testing.T) {
 	refused := 0
@@ -891,8 +891,8 @@
 		p := newProxy(t, testSettings(), seed, fleet(1)...)
 		ask := func(id RequestID) Request { return Request{ID: id, Class: 4, Budget: time.Second} }
 		answer := func(id RequestID, took time.Duration) {
-			p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Latency: took,
-				Load: LoadReport{N: 1, Values: [4]float64{1}}})
+			p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Closed: true,
+				Latency: took, Load: LoadReport{N: 1, Values: [4]float64{1}}})
 		}
 		const held = RequestID(crowd)
 		for id := range held {
@@ -905,16 +905,16 @@
 		for id := range held {
 			answer(id, ms)
 		}
-		for i := range RequestID(21) { // one at a time, of which the last is slow
-			took := ms / 2
-			if i == 20 {
-				took = 30 * ms
+		for i := range RequestID(64) { // one at a time, of which the last are slow
+			took := ms / 10
+			if i >= 60 {
+				took = 9 * ms
 			}
 			p.one(Send, ask(held+1+i))
 			p.now += took
 			answer(held+1+i, took)
 		}
-		p.now += 9 * ms // it has waited for holdFor
+		p.now += 7 * ms // it has waited for holdFor
 		if acts := p.do(Timer{Token: firstToken + 1}); len(acts) != 1 || acts[0].Request != held {
 			t.Fatalf("seed %d: got %+v once there was room", seed, acts)
 		} else if acts[0].Do != Send {
@@ -948,8 +948,8 @@
 			}
 			p.now += took
 			for _, id := range sent {
-				p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Latency: took,
-					Load: LoadReport{N: 1, Values: [4]float64{1}}})
+				p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Closed: true,
+					Latency: took, Load: LoadReport{N: 1, Values: [4]float64{1}}})
 			}
 		}
 		before := refused
@@ -966,3 +966,52 @@
 		t.Errorf("%d of 400 requests were refused after answers that were in time", refused)
 	}
 }
+
+// TestHeldRequestIsNotPassedByForEver covers a request that finds the only server crowded whenever it is
+// looked at again, though others that come later are served all the time in between: it is sent, long before
+// it would be refused.
+func TestHeldRequestIsNotPassedByForEver(t *testing.T) {
+	p := newProxy(t, testSettings(), 1, fleet(1)...)
+	var out []RequestID
+	var last RequestID
+	sent := map[RequestID]bool{}
+	do := func(ev Event) {
+		for _, a := range p.do(ev) {
+			if a.Do != Send {
+				t.Fatalf("%v after the start: got %+v", p.now-time.Minute, a)
+			}
+			out, sent[a.Request] = append(out, a.Request), true
+		}
+	}
+	ask := func() RequestID {
+		last++
+		do(Request{ID: last, Class: 4, Budget: time.Second})
+		return last
+	}
+	end := func() { // the oldest attempt ends, as after a millisecond
+		id := out[0]
+		out = out[1:]
+		do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Closed: true,
+			Latency: ms, Load: LoadReport{N: 1, Values: [4]float64{1}}})
+	}
+	for range 100 {
+		ask()
+		end()
+	}
+	for range int(crowd) {
+		ask()
+	}
+	held := ask()
+	for token := firstToken + 1; !sent[held]; token++ {
+		for range holdFor / ms {
+			p.now += ms
+			if end(); len(out) < int(crowd) { // its client asks again at once
+				ask()
+			}
+		}
+		do(Timer{Token: token})
+		if p.now > time.Minute+4*holdFor {
+			t.Fatal("requests that came later are sent and this one is not")
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -63,6 +63,8 @@
 	broke    bool // the last attempt's connection broke
 	answered bool
 	stream   bool
+	held     bool // for want of room
+	waits    bool // it is in Balancer.waiting
 }
 
 // slot is one range of the sieve.
@@ -79,6 +81,7 @@
 	order    []*server // by id
 	requests map[RequestID]*request
 	held     map[uint32]RequestID
+	waiting  []RequestID // held requests that were looked at again in vain, the first first; some may have ended
 	token    uint32
 	acts     []Action
 	started  bool
