--- a/balancer.go
+++ b/balancer.go
@@ -312,7 +312,7 @@
 		return
 	}
 	r := &request{Request: ev, class: &b.set.Classes[ev.Class], key: mix(ev.Key), arrived: b.now,
-		deadline: b.now + ev.Budget, work: b.works[ev.Class].at(ev.Cost.Seconds()), most: b.set.MaxAttempts}
+		deadline: b.now + ev.Budget, most: b.set.MaxAttempts}
 	if !ev.HasKey {
 		r.key = b.random()
 	}
@@ -322,10 +322,9 @@
 			b.tenants[ev.Tenant]++
 		}
 	}
-	b.arrived += r.work
-	b.meanWork += (r.work - b.meanWork) * fitGain
 	r.elapsed = b.firsts[ev.Class].elapsed(ev.Budget, r.class.Deadline)
-	r.rank, r.wanted = b.rank(r)
+	b.estimate(r)
+	b.meanWork += (r.work - b.meanWork) * fitGain
 	b.counts[r.key%hotCounts]++
 	b.counted++
 	b.retries = min(retryStock, max(0, b.retries)+retryShare)
@@ -333,6 +332,16 @@
 	b.dispatch(r)
 }
 
+// estimate takes what was learned up to now into what r takes and what it is worth for that. Guards against
+// refusing a held request where there is room: its work as first guessed, times how much slower the server is
+// than what was learned since.
+func (b *Balancer) estimate(r *request) {
+	work := b.works[r.Class].at(r.Cost.Seconds())
+	b.arrived += work - r.work
+	r.work = work
+	r.rank, r.wanted = b.rank(r)
+}
+
 // worth is a request's worth for each unit of work.
 func (b *Balancer) worth(class int, over bool) float64 {
 	w := b.set.Classes[class].Worth
@@ -389,7 +398,7 @@
 		return
 	}
 	if b.expired {
-		b.await(r, left)
+		b.await(r)
 		return
 	}
 	s := b.trial(r)
@@ -405,7 +414,7 @@
 			b.refuse(r) // waiting here would only move the queue
 			return
 		}
-		b.hold(r, left)
+		b.hold(r)
 		return
 	}
 	held := b.inFlight(s) + 1
@@ -439,23 +448,56 @@
 	b.acts = append(b.acts, Action{Do: Send, Request: r.ID, Server: s.ID, For: limit, Within: within})
 }
 
-// hold has r looked at again in a while.
-func (b *Balancer) hold(r *request, left time.Duration) {
+// hold has r looked at again after a while, and if that was in vain, also when attempts end.
+func (b *Balancer) hold(r *request) {
 	b.token = max(b.token+1, firstToken)
 	b.held[b.token] = r.ID
-	b.timer(min(holdFor, left), b.token)
+	b.timer(min(holdFor, r.deadline-b.now), b.token)
+	if r.held && !r.waits {
+		b.firstWaiting() // guards against a list that grows while no attempt ends
+		r.waits = true
+		b.waiting = append(b.waiting, r.ID)
+	}
+	r.held = true
+}
+
+// firstWaiting returns the first of the waiting requests, nil if there is none, and forgets those that ended.
+func (b *Balancer) firstWaiting() *request {
+	for len(b.waiting) > 0 {
+		if r := b.requests[b.waiting[0]]; r != nil && !r.answered && len(r.tried) == 0 {
+			return r
+		}
+		b.waiting = b.waiting[1:]
+	}
+	return nil
+}
+
+// resume has the first of the waiting requests sent if s may take it, now that an attempt there has ended.
+// Guards against one that finds no room at each look, since requests that come later take all that is free in
+// between: it was refused in the end. That is so only where answers take less time than passes between two
+// looks; where they take longer, those that have waited would make the others late.
+func (b *Balancer) resume(s *server) {
+	r := b.firstWaiting()
+	if r == nil || b.expired || !b.may(s, r, true) {
+		return
+	}
+	b.estimate(r)
+	if b.answerIn(r, b.slowness(s, b.inFlight(s)+1)) < holdFor.Seconds() {
+		b.waiting, r.waits = b.waiting[1:], false
+		b.dispatch(r)
+	}
 }
 
 // await holds r for a list that may be used, as long as it can still be answered in time; what was tried
 // before is given up at once.
-func (b *Balancer) await(r *request, left time.Duration) {
+func (b *Balancer) await(r *request) {
 	switch {
 	case len(r.tried) > 0:
 		b.finish(r)
 	case float64(b.now-r.arrived) >= expiredWait*float64(r.class.Aim):
 		b.refuse(r)
 	default:
-		b.hold(r, left)
+		b.hold(r)
 	}
 }
 
@@ -503,6 +545,9 @@
 		return
 	}
 	r.out--
+	if s != nil {
+		defer b.resume(s)
+	}
 	if ev.Closed || r.answered {
 		b.end(r)
 		return
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -880,3 +880,138 @@
 		}
 	}
 }
+
+// TestHeldRequestIsJudgedByWhatWasLearnt covers requests that come before anything was learnt of their class
+// and find the only server crowded: once there is room they are sent, since what answers take by then, the
+// slow ones included, is far within their aim. Guards against holding the first guess of a request's work
+// against them, which is a hundred times as much here.
+func TestHeldRequestIsJudgedByWhatWasLearnt(t *testing.T) {
+	refused := 0
+	for seed := range uint64(100) {
+		p := newProxy(t, testSettings(), seed, fleet(1)...)
+		ask := func(id RequestID) Request { return Request{ID: id, Class: 4, Budget: time.Second} }
+		answer := func(id RequestID, took time.Duration) {
+			p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Closed: true,
+				Latency: took, Load: LoadReport{N: 1, Values: [4]float64{1}}})
+		}
+		const held = RequestID(crowd)
+		for id := range held {
+			p.one(Send, ask(id))
+		}
+		if acts := p.do(ask(held)); len(acts) > 0 {
+			t.Fatalf("seed %d: got %+v for a request beyond the crowd", seed, acts)
+		}
+		p.now += ms
+		for id := range held {
+			answer(id, ms)
+		}
+		for i := range RequestID(64) { // one at a time, of which the last are slow
+			took := ms / 10
+			if i >= 60 {
+				took = 9 * ms
+			}
+			p.one(Send, ask(held+1+i))
+			p.now += took
+			answer(held+1+i, took)
+		}
+		p.now += 7 * ms // it has waited for holdFor
+		if acts := p.do(Timer{Token: firstToken + 1}); len(acts) != 1 || acts[0].Request != held {
+			t.Fatalf("seed %d: got %+v once there was room", seed, acts)
+		} else if acts[0].Do != Send {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 100 held requests were refused at a server with room", refused)
+	}
+}
+
+// TestStallIsNotCountedTwice covers answers that all took far longer than any before, as after a pause of the
+// machine, and yet were in time: what comes next is sent. Guards against a slowness that is relative to what
+// was expected of those answers, times an expectation that they have raised since.
+func TestStallIsNotCountedTwice(t *testing.T) {
+	refused := 0
+	for seed := range uint64(100) {
+		p := newProxy(t, testSettings(), seed, fleet(1)...)
+		var last RequestID
+		round := func(took time.Duration) { // as many at once as the server may have
+			var sent []RequestID
+			for range int(crowd) {
+				last++
+				for _, a := range p.do(Request{ID: last, Class: 4, Budget: time.Second}) {
+					if a.Do == Refuse {
+						refused++
+					} else {
+						sent = append(sent, a.Request)
+					}
+				}
+			}
+			p.now += took
+			for _, id := range sent {
+				p.do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Closed: true,
+					Latency: took, Load: LoadReport{N: 1, Values: [4]float64{1}}})
+			}
+		}
+		before := refused
+		for range 100 {
+			round(ms)
+		}
+		if refused > before {
+			t.Fatalf("seed %d: %d refused before the stall", seed, refused-before)
+		}
+		round(180 * ms)
+		round(ms)
+	}
+	if refused > 0 {
+		t.Errorf("%d of 400 requests were refused after answers that were in time", refused)
+	}
+}
+
+// TestHeldRequestIsNotPassedByForEver covers a request that finds the only server crowded whenever it is
+// looked at again, though others that come later are served all the time in between: it is sent, long before
+// it would be refused.
+func TestHeldRequestIsNotPassedByForEver(t *testing.T) {
+	p := newProxy(t, testSettings(), 1, fleet(1)...)
+	var out []RequestID
+	var last RequestID
+	sent := map[RequestID]bool{}
+	do := func(ev Event) {
+		for _, a := range p.do(ev) {
+			if a.Do != Send {
+				t.Fatalf("%v after the start: got %+v", p.now-time.Minute, a)
+			}
+			out, sent[a.Request] = append(out, a.Request), true
+		}
+	}
+	ask := func() RequestID {
+		last++
+		do(Request{ID: last, Class: 4, Budget: time.Second})
+		return last
+	}
+	end := func() { // the oldest attempt ends, as after a millisecond
+		id := out[0]
+		out = out[1:]
+		do(Outcome{Request: id, Server: fleet(1)[0].ID, Result: OK, Closed: true,
+			Latency: ms, Load: LoadReport{N: 1, Values: [4]float64{1}}})
+	}
+	for range 100 {
+		ask()
+		end()
+	}
+	for range int(crowd) {
+		ask()
+	}
+	held := ask()
+	for token := firstToken + 1; !sent[held]; token++ {
+		for range holdFor / ms {
+			p.now += ms
+			if end(); len(out) < int(crowd) { // its client asks again at once
+				ask()
+			}
+		}
+		do(Timer{Token: token})
+		if p.now > time.Minute+4*holdFor {
+			t.Fatal("requests that came later are sent and this one is not")
+		}
+	}
+}
--- a/internal/proxystate/callers.go
+++ b/internal/proxystate/callers.go
@@ -117,8 +117,8 @@
 	}
 	c.over = false
 	s.lastID++
-	r := &request{id: s.lastID, name: ev.Name, class: ev.Class, caller: c, deadline: ev.Deadline - margin,
-		payload: ev.Payload, count: s.began(s.counts.classes[ev.Class])}
+	r := &request{id: s.lastID, name: ev.Name, class: ev.Class, caller: c, came: s.now,
+		deadline: ev.Deadline - margin, payload: ev.Payload, count: s.began(s.counts.classes[ev.Class])}
 	r.unsafe = s.cfg.Settings.Classes[ev.Class].Effect == lg.Unsafe
 	if r.stream, r.may = ev.Stream, ev.May; ev.HasKey {
 		r.key = ev.Key
@@ -134,7 +134,7 @@
 		s.clock.add(r.deadline, func() { s.overdue(r) })
 	}
 	if s.cfg.Trace != nil {
-		s.trace("A %d class %d by %d", r.id, r.class, (r.deadline - s.now).Milliseconds())
+		s.trace("A %d class %d by %d name %q", r.id, r.class, (r.deadline - s.now).Milliseconds(), r.name)
 	}
 	s.tell(lg.Request{ID: r.id, Class: ev.Class, Tenant: ev.Tenant, Key: ev.Key, HasKey: ev.HasKey,
 		Budget: max(0, r.deadline-s.now), Cost: ev.Cost, Repeat: ev.Repeat, Stream: ev.Stream})
@@ -165,6 +165,9 @@
 	if e.Verdict == Broken && r.late {
 		e.Verdict = Late
 	}
+	if e.Verdict != Served && e.Payload == nil {
+		e.Payload = Unserved{Took: s.now - r.came, Attempts: r.sent, Last: r.result}
+	}
 	if s.cfg.Trace != nil {
 		s.trace("F %d %s", r.id, verdicts[e.Verdict])
 	}
