--- a/internal/listcalls/listcalls.go
+++ b/internal/listcalls/listcalls.go
@@ -227,6 +227,8 @@
 		return now + max(pausePushed, s.cfg.Grace/graceParts)
 	case s.misses == 1:
 		return now + s.inTime(now, s.turn(min(s.allCalls(), s.apart())))
+	case s.began+s.apart() <= now:
+		return now + pauseSoon // guards against time without a call, where one was held for longer than a pause
 	}
 	// Guards against a call that goes on with a watch: what changes in between counts as notified at once,
 	// and this service does not answer in time.
