--- a/internal/listcalls/listcalls.go
+++ b/internal/listcalls/listcalls.go
@@ -37,8 +37,7 @@
 	workMost      = 150 * time.Millisecond  // up to this: a watch goes on for 200 ms without a call
 	jitterPart    = 0.4                     // of the time between two calls that fail, in which it is drawn
 	waitLeast     = 0.1                     // part of that time which a watch waits at least
-	waitMost      = 60 * time.Second        // how long a watch may wait by the protocol
-	answerFailed  = 3500 * time.Millisecond // after calls that failed a watch is given up after this
+	waitFailed    = 3500 * time.Millisecond // how long a watch may wait after calls that failed
 	waitUsual     = 10 * time.Second        // how long a watch may wait where the settings name no time
 	waitPushed    = 4 * time.Second         // and where lists are pushed: an answer without news costs nothing
 	// The protocol counts what a silent watch misses as notified 2 s after its wait (or NewsBy after it
@@ -158,7 +157,11 @@
 	c := Call{Number: s.number, Anew: anew, GiveUp: now + s.answerIn()}
 	if s.known {
 		c.Wait = s.waitFor()
-		c.GiveUp = s.giveUpAt(now, c.Wait)
+		// Guards against giving up a call that stands in the queue of a crowded service, which works on it
+		// all the same: there is time for that, since what a short watch misses counts NewsBy later.
+		if c.Wait > 0 {
+			c.GiveUp = now + max(c.Wait+s.silentAfter(), s.answerIn())
+		}
 		if s.misses == 0 {
 			s.lease.watched(now, c.Wait)
 		} else {
@@ -169,33 +172,18 @@
 	return c
 }
 
-// waitFor is how long a call may wait for news. What a service does not answer while it is out of reach may
-// count by the wait of the first such call, so that is as long as can be. After a call that fell silent the
-// next one shows whether there is an answer at all.
+// waitFor is how long a call may wait for news. After others failed it is answered while the list may
+// still be used, and after one that fell silent it shows whether there is an answer at all.
 func (s *Schedule) waitFor() time.Duration {
 	switch {
 	case s.silent > 0:
 		return 0
 	case s.misses > 0 && s.cfg.Asked:
-		return waitMost
+		return min(s.every(), waitFailed)
 	}
 	return s.nextWait()
 }
 
-// giveUpAt is when a call that may wait so long is given up. After others failed that is while the list may
-// still be used: the next call does not wait, and shows whether there was no news.
-func (s *Schedule) giveUpAt(now, wait time.Duration) time.Duration {
-	switch {
-	case wait == 0:
-		return now + s.answerIn()
-	case s.misses > 0 && s.cfg.Asked:
-		return now + answerFailed
-	}
-	// Guards against giving up a call that stands in the queue of a crowded service, which works on it all
-	// the same: there is time for that, since what a short watch misses counts NewsBy later.
-	return now + max(wait+s.silentAfter(), s.answerIn())
-}
-
 // GiveUp says that the time of a call has come, and makes the next one if it is still out.
 func (s *Schedule) GiveUp(now time.Duration, number int) (Call, bool) {
 	if !s.out || s.number != number {
@@ -227,8 +215,6 @@
 		return now + max(pausePushed, s.cfg.Grace/graceParts)
 	case s.misses == 1:
 		return now + s.inTime(now, s.turn(min(s.allCalls(), s.apart())))
-	case s.began+s.apart() <= now:
-		return now + pauseSoon // guards against time without a call, where one was held for longer than a pause
 	}
 	// Guards against a call that goes on with a watch: what changes in between counts as notified at once,
 	// and this service does not answer in time.
@@ -294,10 +280,10 @@
 }
 
 // answerIn is how long a call may take that doesn't wait for news: several times as long as the service
-// was seen to take of late, within bounds, also after others that fell silent: nothing is sent until one is
-// answered. Where it was not seen, and where calls fail, the most: a call that is given up in the queue of a
-// slow service costs that all the same, the next one waits from the start, and what a call misses that was
-// given up counts as notified sooner than what one misses that failed.
+// was seen to take of late, within bounds, also after others that fell silent: nothing is sent until one
+// is answered. Where it was not seen, and where calls fail, the most: a call that is given up in the queue
+// of a slow service costs that all the same, the next one waits from the start, and what a call misses
+// that was given up counts as notified sooner than what one misses that failed.
 func (s *Schedule) answerIn() time.Duration {
 	if !s.lagKnown || s.misses > 0 && s.silent == 0 {
 		return answerMost
@@ -316,8 +302,11 @@
 		}
 	case a.Quiet && took >= s.wait-waitSlack:
 		took = max(0, took-s.wait)
-	default:
-		return // news came at some time within the wait
+	default: // news came at some time within the wait
+		if !s.lagKnown {
+			s.lag, s.lagKnown = took, true
+		}
+		return
 	}
 	s.lag, s.lagKnown = max(took, s.lag/2), true
 }
