--- a/internal/listcalls/listcalls.go
+++ b/internal/listcalls/listcalls.go
@@ -279,19 +279,22 @@
 	return cmp.Or(s.cost, costGuess) * time.Duration(max(1, s.cfg.Proxies))
 }
 
-// answerIn is how long a call may take that doesn't wait for news: several times as long as the service
-// was seen to take of late, within bounds, also after others that fell silent: nothing is sent until one
-// is answered. Where it was not seen, and where calls fail, the most: a call that is given up in the queue
-// of a slow service costs that all the same, the next one waits from the start, and what a call misses
-// that was given up counts as notified sooner than what one misses that failed.
+// answerIn is how long a call may take that doesn't wait for news: several times as long as the service was
+// seen to take of late, and twice as long as the one before if that fell silent, within bounds. Where it was
+// not seen, and where calls fail, the most: a call that is given up in the queue of a slow service costs that
+// all the same, the next one waits from the start, and what a call misses that was given up counts as
+// notified sooner than what one misses that failed.
 func (s *Schedule) answerIn() time.Duration {
 	if !s.lagKnown || s.misses > 0 && s.silent == 0 {
 		return answerMost
 	}
-	least := max(answerLeast, s.cost*time.Duration(s.cfg.Proxies))
+	least := max(answerLeast, s.cost*time.Duration(s.cfg.Proxies)) << min(max(0, s.silent-1), mostDoublings)
 	return min(max(lagParts*s.lag, least, s.held+waitSlack), answerMost)
 }
 
+// mostDoublings bounds how often a time is doubled, which has a bound of its own, too.
+const mostDoublings = 2
+
 // seen takes in how long the service took for a call beyond what that was allowed to wait. Of what was seen
 // before half is left.
 func (s *Schedule) seen(took time.Duration, a Answer) {
