--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -24,6 +24,7 @@
 	said    map[string]string // what the version in force says of each server's state
 	changed map[string]uint64 // the version that changed a server last
 	gone    map[string]entry  // servers that the list no longer names, as it named them last
+	history map[string][]line // what the list has said of each server, oldest first
 	whole   []byte            // the whole list of the version in force, nil where nobody has asked for it
 	down    bool
 	late    time.Duration // an answer is late by so much
@@ -43,8 +44,9 @@
 	silent  int           // so many of the next calls are never answered
 	answers int
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	resets int // so often its connections were broken
 }
 
 // entry is one line of the list in discovery's form.
@@ -59,6 +61,12 @@
 	Started int64   `json:"startedAtMs"`
 }
 
+// line is what the list says of a server from a version on.
+type line struct {
+	version uint64
+	entry   entry // State is "" where the list doesn't name the server
+}
+
 // document is the list in discovery's form.
 type document struct {
 	Version   uint64  `json:"generation"`
@@ -69,13 +77,14 @@
 func newDiscovery(j *Judge, n *network, wholeEvery int) *Discovery {
 	return &Discovery{judge: j, network: n, wholeEvery: wholeEvery, version: 1, news: make(chan struct{}),
 		said: map[string]string{}, changed: map[string]uint64{}, gone: map[string]entry{},
-		doors: map[string]*door{}, shutDoors: map[string]bool{}}
+		history: map[string][]line{}, doors: map[string]*door{}, shutDoors: map[string]bool{}}
 }
 
 // names adds a server to the list before the run begins.
 func (d *Discovery) names(s *Server) {
 	d.servers = append(d.servers, s)
 	d.said[s.ID], d.changed[s.ID] = s.state(), d.version
+	d.history[s.ID] = append(d.history[s.ID], line{d.version, s.entry()})
 	d.judge.listed(s.ID, s.state() == "ready", d.version, time.Now())
 }
 
@@ -113,8 +122,28 @@
 	}
 }
 
-// forget notes that a process starts anew and knows nothing of what was told before.
-func (d *Discovery) forget(name string) { d.judge.restarted(name, time.Now()) }
+// lastHad is the list as a process had it last, and its version.
+func (d *Discovery) lastHad(name string) (document, uint64) {
+	version := d.judge.lastTold(name)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if version == 0 {
+		version = d.version
+	}
+	doc := document{Version: version, Whole: true, Instances: []entry{}}
+	for _, s := range d.servers {
+		var last entry
+		for _, l := range d.history[s.ID] {
+			if l.version <= version {
+				last = l.entry
+			}
+		}
+		if last.State != "" {
+			doc.Instances = append(doc.Instances, last)
+		}
+	}
+	return doc, version
+}
 
 // change makes a change to servers' states, tells those who watch, and notes when it was there to be had.
 func (d *Discovery) change(do func()) {
@@ -129,6 +158,7 @@
 			continue
 		}
 		d.said[s.ID], d.changed[s.ID] = state, d.version
+		d.history[s.ID] = append(d.history[s.ID], line{d.version, s.entry()})
 		d.judge.listed(s.ID, state == "ready", d.version, now)
 		if state != "" {
 			delete(d.gone, s.ID)
@@ -154,8 +184,8 @@
 	}
 }
 
-// well tells whether calls are answered in time and whole.
-func (d *Discovery) well() bool { return !d.down && !d.cut && !d.silent && d.late == 0 }
+// well tells whether calls are answered, however late, and whole.
+func (d *Discovery) well() bool { return !d.down && !d.cut && !d.silent }
 
 // breakWatches resets every connection that is open.
 func (d *Discovery) breakWatches() {
@@ -182,11 +212,30 @@
 func (at *door) reset() {
 	at.mu.Lock()
 	defer at.mu.Unlock()
+	at.resets++
 	for c := range at.conns {
 		reset(c)
 	}
 }
 
+// brokenSince tells how a call ended that was not answered: broken here, or given up by its process. The
+// argument is how often the door's connections had been broken when the call began.
+func (at *door) brokenSince(resets int) callEnd {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.resets > resets {
+		return broken
+	}
+	return givenUp
+}
+
+// resetsSoFar is how often the door's connections were broken.
+func (at *door) resetsSoFar() int {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	return at.resets
+}
+
 // silence has the call that a process has out never be answered, nor so many of those that follow. All other
 // processes are answered as ever.
 func (d *Discovery) silence(name string, following int) {
@@ -233,7 +282,8 @@
 }
 
 // await waits until there is news for a call that may wait. It returns false where the call gets no answer.
-func (d *Discovery) await(at *door, r *http.Request, since uint64, wait time.Duration) bool {
+func (d *Discovery) await(at *door, r *http.Request, since uint64, c *callRecord) bool {
+	wait := c.wait
 	d.mu.Lock()
 	news, mute, silent := d.news, at.mute, d.silent
 	current := since == d.version
@@ -243,6 +293,7 @@
 	}
 	d.mu.Unlock()
 	if silent {
+		d.judge.callSilent(c, time.Now())
 		<-r.Context().Done()
 		return false
 	}
@@ -255,6 +306,7 @@
 	case <-news:
 	case <-timer.C:
 	case <-mute:
+		d.judge.callSilent(c, time.Now())
 		<-r.Context().Done()
 		return false
 	case <-r.Context().Done():
@@ -286,41 +338,54 @@
 	since, errSince := strconv.ParseUint(query.Get("since"), 10, 64)
 	ms, errWait := strconv.Atoi(query.Get("timeout_ms"))
 	waits := errSince == nil && errWait == nil
-	if d.isDown(at.name) {
-		http.Error(w, "down", http.StatusServiceUnavailable)
-		return
-	}
 	wait := time.Duration(0)
 	if waits {
 		wait = time.Duration(ms) * time.Millisecond
 	}
-	end := d.judge.called(at.name, time.Now(), wait)
-	defer func() { end(time.Now()) }()
-	if !d.await(at, r, since, wait) {
-		return
+	resets := at.resetsSoFar()
+	c := d.judge.called(at.name, time.Now(), wait)
+	how := refused
+	if !d.isDown(at.name) {
+		how = d.serveCall(at, w, r, since, waits, c)
+	}
+	if how == refused {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	}
+	if how == givenUp {
+		how = at.brokenSince(resets)
+	}
+	d.judge.callEnded(c, time.Now(), how)
+}
+
+// serveCall answers a call that was let in. It returns how the call ended; one that is refused has yet to be
+// told so.
+func (d *Discovery) serveCall(at *door, w http.ResponseWriter, r *http.Request, since uint64, waits bool,
+	c *callRecord) callEnd {
+	if !d.await(at, r, since, c) {
+		return givenUp
 	}
 	d.mu.Lock()
 	late := d.late
 	d.mu.Unlock()
 	time.Sleep(late)
 	if r.Context().Err() != nil {
-		return // given up, and with its connection: nobody is told
+		return givenUp // with its connection: nobody is told
 	}
 	d.mu.Lock()
 	raw, err := d.word(at, since, waits)
 	version, cut, down := d.version, d.cut, d.down || d.shutDoors[at.name]
 	d.mu.Unlock()
 	switch {
-	case err != nil:
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-	case down:
-		http.Error(w, "down", http.StatusServiceUnavailable)
+	case err != nil, down:
+		return refused
 	case cut:
 		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 		_, _ = w.Write(raw[:len(raw)/2])
-	default:
-		if _, err := w.Write(raw); err == nil && http.NewResponseController(w).Flush() == nil {
-			d.judge.told(at.name, version, time.Now())
-		}
+		return cutShort
+	}
+	if _, err := w.Write(raw); err != nil || http.NewResponseController(w).Flush() != nil {
+		return givenUp
 	}
+	d.judge.told(c, version, time.Now())
+	return answered
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -55,7 +55,7 @@
 }
 
 func newProcess(f *Fleet, index int, host string) (*Process, error) {
-	name := fmt.Sprint("n", index)
+	name := fmt.Sprint("n", f.options.number(index))
 	p := &Process{Name: name, Listen: fmt.Sprint(host, ":", clientPort), Admin: fmt.Sprint(host, ":", adminPort),
 		fleet: f, index: index, dir: f.processDir(name)}
 	if err := os.MkdirAll(p.dir, 0o700); err != nil {
@@ -70,7 +70,15 @@
 		return nil, err
 	}
 	p.configure(address)
-	return p, p.writeConfig()
+	return p, nil
+}
+
+// knowLast has the process start with the list as it had it last, as DEPLOY-lilacglade.md says.
+func (p *Process) knowLast() error {
+	known, version := p.fleet.discovery.lastHad(p.Name)
+	p.config["known"] = known
+	p.fleet.judge.started(p.Name, time.Now(), version)
+	return p.writeConfig()
 }
 
 // What the settings say of all processes.
@@ -97,7 +105,6 @@
 	p.config = map[string]any{"name": p.Name, "listen": p.Listen, "discovery": discovery, "admin": p.Admin,
 		"seed":   fmt.Sprintf("%x", uint64(p.index)+o.Seed*1000+1),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": processSockets},
-		"known":  p.fleet.discovery.document(0, true),
 		"settings": map[string]any{"azs": zones, "models": []string{"k0"},
 			"balancers": o.FleetSize, "me": o.number(p.index), "zone": p.index % len(zones), "stage": 0,
 			"tiers": []string{"t"},
@@ -165,7 +172,9 @@
 	cmd.Env = append(append(os.Environ(), "NODE_CONFIG=", "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=",
 		"NODE_ADMIN=", "NODE_PEERS=", "NODE_PASSED_SOCKET=", "TMPDIR="+p.dir), p.layer.Env(trapped...)...)
 	cmd.Stdout, cmd.Stderr = p, p
-	p.fleet.discovery.forget(p.Name)
+	if err := p.knowLast(); err != nil {
+		return err
+	}
 	if err := startOn(cmd, p.fleet.options.Cores); err != nil {
 		return err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -100,7 +100,7 @@
 		return nil, err
 	}
 	f := &Fleet{options: o, began: time.Now(), stalls: newStalls(), network: network}
-	f.judge = newJudge(f.stalls)
+	f.judge = newJudge(f.stalls, o.AskEvery)
 	f.discovery = newDiscovery(f.judge, network, o.WholeEvery)
 	for i := range o.Servers {
 		s, err := newServer(fmt.Sprintf("s%d", i), i, f.judge, network)
