Review case 5: send the uploads faster, so that the silent server's buffers fill in time

On a slower machine the 3 s could have ended before the proxy stopped reading, and the case would have shown nothing.

--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -104,7 +104,7 @@
 	}
 	conn := c.(*net.TCPConn)
 	defer conn.Close()
-	chunk := append([]byte("4000\r\n"), make([]byte, 0x4000+2)...)
+	chunk := append([]byte("8000\r\n"), make([]byte, 0x8000+2)...)
 	copy(chunk[len(chunk)-2:], "\r\n")
 	fmt.Fprint(conn, head(id, "photo-upload", id, int(timeout.Milliseconds()), -1))
 	answered := make(chan answer, 1)
@@ -112,9 +112,9 @@
 		conn.SetReadDeadline(time.Now().Add(25 * time.Second))
 		answered <- readAnswer(bufio.NewReader(conn))
 	}()
-	// The upload goes on until 3 s are over, or the other machine takes in what nobody reads there.
+	// The upload goes on until 4 s are over, or the other machine takes in what nobody reads there.
 	total, most, stalled := 0, uint32(0), time.Duration(0)
-	for time.Since(begin) < 3*time.Second && total < 30<<20 &&
+	for time.Since(begin) < 4*time.Second && total < 30<<20 &&
 		(time.Since(begin) < 1200*time.Millisecond || stalled < 200*time.Millisecond) {
 		conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
 		if _, err := conn.Write(chunk); err != nil {
