--- a/review/standin/alone.go
+++ b/review/standin/alone.go
@@ -130,8 +130,8 @@
 	}
 	relays := map[[2]int]*relay{}
 	for i, p := range proxies {
-		text := fmt.Sprintf("listen: %s\ndir: %s\nfounders: [n0, n1, n2]\nreplace-after: 30s\nalone-after: 2s\npeers:\n",
-			addrs[i], filepath.Join(p.home, "peers"))
+		text := fmt.Sprintf("listen: %s\ndir: %s\nfounders: [n0, n1, n2]\nreplace-after: 30s\n"+
+			"alone-after: 2s\npeers:\n", addrs[i], filepath.Join(p.home, "peers"))
 		for j := range 3 {
 			if j != i {
 				relays[[2]int{i, j}] = r.newRelay(addrs[j])
@@ -154,7 +154,9 @@
 	}
 	proxies[0].start()
 	proxies[1].start()
-	r.await("all are ready", 30*time.Second, func() bool { return n0.ready() && proxies[1].ready() && n2.ready() })
+	r.await("all are ready", 30*time.Second, func() bool {
+		return n0.ready() && proxies[1].ready() && n2.ready()
+	})
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	defer func() { close(stop); clients.Wait() }()
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -33,8 +33,8 @@
 	return 0
 }
 
-// memory: usual clients send 320 requests a second with bodies of 64 KiB. The platform kills a process that is
-// over its memory limit.
+// memory: usual clients send 320 requests a second with bodies of 64 KiB. The platform kills a process that
+// is over its memory limit.
 func memory(r *run) {
 	const limitMB, perSecond, clients, lasts, timeout = 64, 320, 80, 20 * time.Second, 2000
 	size := 1 << 10
@@ -54,7 +54,8 @@
 	p.limits = map[string]any{"cores": 1.0, "memory_mb": limitMB, "sockets": 512}
 	p.start()
 	r.await("ready", 20*time.Second, p.ready)
-	r.say("it uses %.0f MB of %d MB; clients send bodies of %d bytes, %d a second", p.usedMB(), limitMB, size, perSecond)
+	r.say("it uses %.0f MB of %d MB; clients send bodies of %d bytes, %d a second", p.usedMB(), limitMB, size,
+		perSecond)
 	begin := time.Now()
 	stop := begin.Add(lasts)
 	running := func() bool { return time.Now().Before(stop) && p.running() }
@@ -118,8 +119,8 @@
 				open.Load())
 		}
 		if used > limitMB {
-			r.breaks("the process uses %.1f MB, its limit is %d MB: the platform kills it, with %d requests open", used,
-				limitMB, open.Load())
+			r.breaks("the process uses %.1f MB, its limit is %d MB: the platform kills it, with %d requests open",
+				used, limitMB, open.Load())
 			p.signal(syscall.SIGKILL)
 			break
 		}
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -147,6 +147,7 @@
 	} else if a.err != nil {
 		r.breaks("%s: %v, %d ms after its last byte was written", id, a, took.Milliseconds())
 	} else if took > timeout+550*time.Millisecond {
-		r.breaks("%s: answered %d ms after its last byte was written, its time is %v", id, took.Milliseconds(), timeout)
+		r.breaks("%s: answered %d ms after its last byte was written, its time is %v", id, took.Milliseconds(),
+			timeout)
 	}
 }
