--- a/internal/faultlayer/faultlayer.go
+++ b/internal/faultlayer/faultlayer.go
@@ -1,15 +1,16 @@
 // Package faultlayer has the clock and the system calls of a real process go wrong, for tests. A small
-// library (shim/faultlayer.c) is loaded into the process; a control file that both sides map says what goes
-// wrong, and may change at any time. Nothing of it is part of the program. It needs Linux on amd64 and the C
-// compiler that cgo needs anyway.
+// library (shim/faultlayer.c, with what differs by machine in shim/machine.h) is loaded into the process; a
+// control file that both sides map says what goes wrong, and may change at any time. Nothing of it is part of
+// the program. It needs Linux on amd64 or arm64 and the C compiler that cgo needs anyway.
 package faultlayer
 
 import (
-	_ "embed"
+	"embed"
 	"encoding/binary"
 	"fmt"
 	"os"
 	"os/exec"
+	"path"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -18,8 +19,11 @@
 	"unsafe"
 )
 
-//go:embed shim/faultlayer.c
-var source []byte
+//go:embed shim
+var sources embed.FS
+
+// sourceDir is the folder of the library's source in sources.
+const sourceDir = "shim"
 
 // Call is a kind of system call that may go wrong.
 type Call uint32
@@ -93,10 +97,10 @@
 
 // Build compiles the library into a folder and returns its file.
 func Build(dir string) (string, error) {
-	code, library := filepath.Join(dir, "faultlayer.c"), filepath.Join(dir, "faultlayer.so")
-	if err := os.WriteFile(code, source, 0o600); err != nil {
+	if err := writeSources(dir); err != nil {
 		return "", err
 	}
+	code, library := filepath.Join(dir, "faultlayer.c"), filepath.Join(dir, "faultlayer.so")
 	out, err := exec.Command("cc", "-Wall", "-Werror", "-O2", "-fPIC", "-shared", "-o", library, code,
 		"-ldl").CombinedOutput()
 	if err != nil {
@@ -105,6 +109,24 @@
 	return library, nil
 }
 
+// writeSources writes the library's source files into a folder.
+func writeSources(dir string) error {
+	files, err := sources.ReadDir(sourceDir)
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		text, err := sources.ReadFile(path.Join(sourceDir, file.Name()))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, file.Name()), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Layer is the faults of one process, which may be started several times. Its methods may be called from any
 // goroutine.
 type Layer struct {
@@ -115,13 +137,13 @@
 
 // New makes a layer without any fault, with its control file in a folder.
 func New(library, dir string) (*Layer, error) {
-	path := filepath.Join(dir, "faultlayer.control")
+	control := filepath.Join(dir, "faultlayer.control")
 	raw := make([]byte, headSize+maxRules*ruleSize)
 	binary.LittleEndian.PutUint64(raw, magic)
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
+	if err := os.WriteFile(control, raw, 0o600); err != nil {
 		return nil, err
 	}
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	f, err := os.OpenFile(control, os.O_RDWR, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Layer{library: library, control: path, mem: mem}, nil
+	return &Layer{library: library, control: control, mem: mem}, nil
 }
 
 // Close gives the memory back. The layer must not be used any more.
--- a/internal/faultlayer/shim/faultlayer.c
+++ b/internal/faultlayer/shim/faultlayer.c
@@ -13,7 +13,6 @@
 #include <elf.h>
 #include <errno.h>
 #include <fcntl.h>
-#include <linux/audit.h>
 #include <linux/filter.h>
 #include <linux/seccomp.h>
 #include <signal.h>
@@ -35,6 +34,8 @@
 #include <ucontext.h>
 #include <unistd.h>
 
+#include "machine.h"
+
 #define MAGIC 0x66617566746c7931ULL
 #define MAX_RULES 32
 
@@ -74,14 +75,7 @@
 	".globl faultlayer_syscall\n"
 	".type faultlayer_syscall,@function\n"
 	"faultlayer_syscall:\n"
-	"	movq %rdi, %rax\n"
-	"	movq %rsi, %rdi\n"
-	"	movq %rdx, %rsi\n"
-	"	movq %rcx, %rdx\n"
-	"	movq %r8, %r10\n"
-	"	movq %r9, %r8\n"
-	"	movq 8(%rsp), %r9\n"
-	"	syscall\n"
+	MACHINE_SYSCALL_BODY
 	".globl faultlayer_syscall_after\n"
 	"faultlayer_syscall_after:\n"
 	"	ret\n");
@@ -129,14 +123,6 @@
 	_exit(97);
 }
 
-/* jump has the code at an address go on at another one: movabs $to, %rax; jmp *%rax. */
-static void jump(char *from, void *to)
-{
-	memcpy(from, "\x48\xb8", 2);
-	memcpy(from + 2, &to, sizeof to);
-	memcpy(from + 10, "\xff\xe0", 2);
-}
-
 static void patch_clocks(void)
 {
 	char *base = (char *)getauxval(AT_SYSINFO_EHDR);
@@ -177,12 +163,12 @@
 		const char *name = names + s->st_name;
 		if (ELF64_ST_TYPE(s->st_info) != STT_FUNC || s->st_shndx == SHN_UNDEF)
 			continue;
-		if (strcmp(name, "__vdso_clock_gettime") == 0)
-			jump(bias + s->st_value, (void *)fake_clock_gettime);
-		else if (strcmp(name, "__vdso_gettimeofday") == 0)
-			jump(bias + s->st_value, (void *)fake_gettimeofday);
-		else if (strcmp(name, "__vdso_time") == 0)
-			jump(bias + s->st_value, (void *)fake_time);
+		if (strcmp(name, VDSO_CLOCK_GETTIME) == 0)
+			machine_jump(bias + s->st_value, (void *)fake_clock_gettime);
+		else if (strcmp(name, VDSO_GETTIMEOFDAY) == 0)
+			machine_jump(bias + s->st_value, (void *)fake_gettimeofday);
+		else if (strcmp(name, VDSO_TIME) == 0)
+			machine_jump(bias + s->st_value, (void *)fake_time);
 	}
 	if (mprotect(base, size, PROT_READ | PROT_EXEC) != 0)
 		fail("mprotect vDSO back");
@@ -198,13 +184,13 @@
 	case SYS_accept: case SYS_accept4: return CALL_ACCEPT;
 	case SYS_connect: return CALL_CONNECT;
 	case SYS_socket: return CALL_SOCKET;
-	case SYS_epoll_wait: case SYS_epoll_pwait: return CALL_WAIT;
+	case SYS_epoll_pwait: return CALL_WAIT;
 	case SYS_epoll_ctl: return CALL_EPOLL_CTL;
 	case SYS_shutdown: return CALL_SHUTDOWN;
 	case SYS_setsockopt: return CALL_SETSOCKOPT;
 	case SYS_fsync: case SYS_fdatasync: return CALL_FILE_SYNC;
-	case SYS_rename: case SYS_renameat: case SYS_renameat2: return CALL_RENAME;
-	case SYS_open: case SYS_openat: return CALL_OPEN;
+	case SYS_renameat: case SYS_renameat2: return CALL_RENAME;
+	case SYS_openat: return CALL_OPEN;
 	case SYS_read: case SYS_readv: case SYS_recvfrom: case SYS_recvmsg:
 		*transfer = 1;
 		return CALL_READ;
@@ -213,6 +199,12 @@
 		return CALL_WRITE;
 	case SYS_pwrite64: return CALL_FILE_WRITE;
 	}
+	if (nr == MACHINE_EPOLL_WAIT)
+		return CALL_WAIT;
+	if (nr == MACHINE_RENAME)
+		return CALL_RENAME;
+	if (nr == MACHINE_OPEN)
+		return CALL_OPEN;
 	return CALL_NONE;
 }
 
@@ -366,13 +358,13 @@
 static void on_sigsys(int sig, siginfo_t *info, void *context)
 {
 	ucontext_t *u = context;
-	greg_t *g = u->uc_mcontext.gregs;
-	long arg[6] = {g[REG_RDI], g[REG_RSI], g[REG_RDX], g[REG_R10], g[REG_R8], g[REG_R9]};
+	long arg[6];
 	(void)sig;
+	machine_arguments(u, arg);
 	if (info->si_syscall == SYS_rt_sigprocmask)
-		g[REG_RAX] = masked(u, arg);
+		machine_return(u, masked(u, arg));
 	else
-		g[REG_RAX] = answered(info->si_syscall, arg);
+		machine_return(u, answered(info->si_syscall, arg));
 }
 
 /* The program may not take SIGSYS for itself. */
@@ -386,24 +378,25 @@
 	return real(sig, new, old);
 }
 
+/* group is the calls that one name of FAULT_LAYER_CALLS stands for; NO_CALL ends them. */
 struct group {
 	const char *name;
 	int calls[8];
 };
 
 static const struct group groups[] = {
-	{"accept", {SYS_accept, SYS_accept4}},
-	{"connect", {SYS_connect}},
-	{"socket", {SYS_socket}},
-	{"read", {SYS_read, SYS_readv, SYS_recvfrom, SYS_recvmsg}},
-	{"write", {SYS_write, SYS_writev, SYS_sendto, SYS_sendmsg, SYS_pwrite64}},
-	{"wait", {SYS_epoll_wait, SYS_epoll_pwait}},
-	{"epoll_ctl", {SYS_epoll_ctl}},
-	{"shutdown", {SYS_shutdown}},
-	{"setsockopt", {SYS_setsockopt}},
-	{"sync", {SYS_fsync, SYS_fdatasync}},
-	{"rename", {SYS_rename, SYS_renameat, SYS_renameat2}},
-	{"open", {SYS_open, SYS_openat}},
+	{"accept", {SYS_accept, SYS_accept4, NO_CALL}},
+	{"connect", {SYS_connect, NO_CALL}},
+	{"socket", {SYS_socket, NO_CALL}},
+	{"read", {SYS_read, SYS_readv, SYS_recvfrom, SYS_recvmsg, NO_CALL}},
+	{"write", {SYS_write, SYS_writev, SYS_sendto, SYS_sendmsg, SYS_pwrite64, NO_CALL}},
+	{"wait", {SYS_epoll_pwait, MACHINE_EPOLL_WAIT, NO_CALL}},
+	{"epoll_ctl", {SYS_epoll_ctl, NO_CALL}},
+	{"shutdown", {SYS_shutdown, NO_CALL}},
+	{"setsockopt", {SYS_setsockopt, NO_CALL}},
+	{"sync", {SYS_fsync, SYS_fdatasync, NO_CALL}},
+	{"rename", {SYS_renameat, SYS_renameat2, MACHINE_RENAME, NO_CALL}},
+	{"open", {SYS_openat, MACHINE_OPEN, NO_CALL}},
 };
 
 #define COUNT(a) (sizeof(a) / sizeof(a)[0])
@@ -428,7 +421,7 @@
 	uintptr_t after = (uintptr_t)faultlayer_syscall_after;
 	struct sock_filter head[] = {
 		BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, arch)),
-		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 1, 0),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, MACHINE_AUDIT_ARCH, 1, 0),
 		BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW),
 		BPF_STMT(BPF_LD | BPF_W | BPF_ABS, offsetof(struct seccomp_data, instruction_pointer)),
 		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, (uint32_t)after, 0, 3),
@@ -444,11 +437,8 @@
 	for (size_t i = 0; i < COUNT(groups); i++) {
 		if (!has(list, groups[i].name))
 			continue;
-		for (size_t j = 0; j < COUNT(groups[i].calls); j++) {
-			int nr = groups[i].calls[j];
-			if (nr == 0 && !(j == 0 && strcmp(groups[i].name, "read") == 0))
-				break;
-			code[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, (uint32_t)nr, 0, 1);
+		for (const int *nr = groups[i].calls; *nr != NO_CALL; nr++) {
+			code[n++] = (struct sock_filter)BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, (uint32_t)*nr, 0, 1);
 			code[n++] = (struct sock_filter)BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_TRAP);
 		}
 	}
