--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -468,13 +468,21 @@
 	}
 	// The ticket that has waited longest is refused immediately: nothing of its request has been sent.
 	if len(s.waiting) > s.opening && (s.inUse() <= 0 || !p.reuseIsSooner(s, len(s.waiting)-s.opening)) {
-		t := s.waiting[0]
-		s.waiting = s.waiting[1:]
+		t := s.takeWaiting()
 		p.emit(Action[T]{Kind: Refuse, Ticket: t, LocalFault: local})
 	}
 	p.resolveStranded(now, s)
 }
 
+// takeWaiting removes and returns the ticket that has waited longest.
+func (s *Server[T]) takeWaiting() T {
+	var none T
+	t := s.waiting[0]
+	s.waiting[0] = none // the slice's array must not keep it
+	s.waiting = s.waiting[1:]
+	return t
+}
+
 // Release returns a connection after an exchange.
 func (p *Pool[T]) Release(now time.Duration, c *Conn[T]) {
 	c.Server.demand.exchanged(now-c.since, c.uses == 1)
@@ -500,8 +508,7 @@
 	case s.state != lg.Ready:
 		p.closeConn(c, causeServerState)
 	case len(s.waiting) > 0:
-		t := s.waiting[0]
-		s.waiting = s.waiting[1:]
+		t := s.takeWaiting()
 		p.assign(now, c, t)
 	default:
 		c.phase, c.since = idle, now
--- a/internal/reducer/clients.go
+++ b/internal/reducer/clients.go
@@ -137,7 +137,7 @@
 	s.requests[req.id] = req
 	s.openNames[req.name] = true
 	if !req.stream {
-		s.timers.add(req.deadline, func() { s.expireRequest(req) })
+		s.scheduleExpiry(req)
 	}
 	if s.cfg.Trace != nil {
 		s.trace("A %d class %d by %d name %q", req.id, req.class, (req.deadline - s.now).Milliseconds(), req.name)
@@ -146,6 +146,12 @@
 		Budget: max(0, req.deadline-s.now), Cost: ev.Cost, Repeat: ev.Repeat, Stream: ev.Stream})
 }
 
+// scheduleExpiry has a request end at its deadline, which replaces an earlier one.
+func (s *State) scheduleExpiry(req *request) {
+	s.timers.remove(req.expiry)
+	req.expiry = s.timers.add(req.deadline, func() { s.expireRequest(req) })
+}
+
 // expireRequest ends a request at its deadline. The decider is notified of the timeout first; its
 // actions don't affect the answer.
 func (s *State) expireRequest(req *request) {
@@ -190,9 +196,10 @@
 	}
 }
 
-// completeRequest marks a request as done. It is kept until its attempt has ended.
+// completeRequest marks a request as done. It is kept until its attempt has ended, without its payload:
+// no further attempt begins.
 func (s *State) completeRequest(req *request) {
-	req.done, req.client = true, nil
+	req.done, req.client, req.payload = true, nil, nil
 	if req.attempt != nil && req.attempt.conn == nil {
 		s.endAttempt(req.attempt, lg.Moot, lg.LoadReport{}) // unsent, and nobody waits for an answer
 		return
@@ -204,6 +211,7 @@
 
 // removeRequest deletes a request that has no open attempt.
 func (s *State) removeRequest(req *request) {
+	s.timers.remove(req.expiry)
 	delete(s.requests, req.id)
 	delete(s.openNames, req.name)
 }
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -30,7 +30,7 @@
 			s.list.sinceAnswer(s.now).Milliseconds())
 	}
 	if attempt.deadline < req.deadline {
-		s.timers.add(attempt.deadline, func() {
+		attempt.expiry = s.timers.add(attempt.deadline, func() {
 			if req.attempt == attempt {
 				s.attemptTimedOut(attempt)
 			}
@@ -54,13 +54,13 @@
 	if req := attempt.req; req.attempt == attempt && attempt.conn == nil {
 		// If the wait for a connection in use takes too long, because its server hangs, the attempt
 		// ends here: nothing was sent, and there is time for another server.
-		s.timers.add(s.connDeadline(attempt), func() {
+		attempt.connTimer = s.timers.add(s.connDeadline(attempt), func() {
 			if req.attempt == attempt && attempt.conn == nil {
 				s.endAttempt(attempt, lg.ConnectFailed, lg.LoadReport{})
 			}
 		})
 		if attempt.server.HasUnservedWaiters() {
-			s.timers.add(s.now+attempt.server.WaitTimeout(), func() {
+			attempt.waitTimer = s.timers.add(s.now+attempt.server.WaitTimeout(), func() {
 				if req.attempt == attempt && attempt.conn == nil {
 					s.pool.OpenForWaiters(s.now, attempt.server)
 					s.runPoolActions()
@@ -70,6 +70,12 @@
 	}
 }
 
+// removeWaitTimers removes the timers of an attempt that no longer waits for a connection.
+func (s *State) removeWaitTimers(attempt *attempt) {
+	s.timers.remove(attempt.connTimer)
+	s.timers.remove(attempt.waitTimer)
+}
+
 // runPoolActions carries out the actions of the pool.
 func (s *State) runPoolActions() {
 	for i := 0; i < len(s.pool.Actions); i++ {
@@ -119,6 +125,7 @@
 // forward has an attempt written on a connection from the pool. If the connection comes up just as the
 // attempt's time is over, but before its timer has fired, nothing is written any more.
 func (s *State) forward(conn *serverConn, attempt *attempt) {
+	s.removeWaitTimers(attempt)
 	if s.now >= attempt.deadline || attempt.startBy > 0 && s.now >= attempt.startBy {
 		s.pool.ReleaseUnused(s.now, conn.Conn)
 		s.endAttempt(attempt, lg.ConnectFailed, lg.LoadReport{})
@@ -174,6 +181,9 @@
 func (s *State) endAttempt(attempt *attempt, result lg.Result, load lg.LoadReport) {
 	req := attempt.req
 	req.attempt, req.lastResult = nil, result
+	s.removeWaitTimers(attempt)
+	s.timers.remove(attempt.expiry)
+	s.timers.remove(attempt.streamTimer)
 	if attempt.conn != nil {
 		s.pool.RecordOutcome(s.now, attempt.conn.Conn, poolOutcomes[result])
 		attempt.conn.attempt = nil
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -126,11 +126,11 @@
 	deadline     time.Duration
 	deliverBy    time.Duration // a server should have received all of it by then
 	delivered    bool          // a server has received all of it
-	payload      any
-	attempt      *attempt  // the open one; nil if there is none
-	attempts     int       // attempts so far
-	lastResult   lg.Result // of the last attempt that ended
-	mayHaveRun   bool      // an attempt may have run: firstRun
+	payload      any           // what a server is sent; nil once no attempt can follow
+	attempt      *attempt      // the open one; nil if there is none
+	attempts     int           // attempts so far
+	lastResult   lg.Result     // of the last attempt that ended
+	mayHaveRun   bool          // an attempt may have run: firstRun
 	firstRun     sendguard.PriorAttempt
 	timedOut     bool          // an attempt has timed out
 	stream       bool          // it is forwarded while it arrives,
@@ -139,6 +139,7 @@
 	bodyConsumed bool          // it can't be sent again
 	streaming    bool          // its answer is passed on while it arrives
 	done         bool          // the final answer was given, or none is due
+	expiry       *timer        // ends it at its deadline; nil while its body arrives
 }
 
 // attempt is one attempt of a request.
@@ -151,6 +152,9 @@
 	startBy  time.Duration      // the latest time for its first byte; 0 means no limit
 	conn     *serverConn        // nil while it waits for a connection
 	location sendguard.Location // of its server at the time of sending
+	// Its timers, nil if there is none: at its deadline, while it waits for a connection, and while an
+	// answer of unknown length is held back.
+	expiry, connTimer, waitTimer, streamTimer *timer
 }
 
 // serverConnPhase is the phase of a server connection, in addition to its state in the pool.
@@ -214,6 +218,7 @@
 // Step handles one event at the given time. The returned slice is reused by the next call.
 func (s *State) Step(now time.Duration, ev Event) []Effect {
 	s.now = max(s.now, now)
+	clear(s.effects) // they hold the bodies of answers and requests
 	s.effects, s.acceptQueueDrained = s.effects[:0], false
 	if s.maintenance != nil {
 		s.checkLease()
@@ -230,7 +235,9 @@
 	if s.drained && !s.hasOpenClients() {
 		s.finishOrDrain()
 	}
-	if at := s.timers.first(); at != s.armedAt { // never empty: a sweep is always scheduled
+	// Never empty: a sweep is always scheduled. If what was armed for is gone, the timer still fires
+	// then, which costs less than to arm it anew at the end of each request.
+	if at := s.timers.first(); at < s.armedAt || s.armedAt <= s.now {
 		s.armedAt = at
 		s.emit(Effect{Do: ArmTimer, At: at})
 	}
--- a/internal/reducer/streams.go
+++ b/internal/reducer/streams.go
@@ -14,7 +14,7 @@
 	if req.attempt != nil {
 		req.attempt.deadline = req.deadline
 	}
-	s.timers.add(req.deadline, func() { s.expireRequest(req) })
+	s.scheduleExpiry(req)
 }
 
 // bodyFailed ends a request whose rest can't be received.
@@ -51,7 +51,7 @@
 		return
 	}
 	attempt := conn.attempt
-	s.timers.add(s.now+streamDelay, func() {
+	attempt.streamTimer = s.timers.add(s.now+streamDelay, func() {
 		if s.serverConns[id] == conn && conn.attempt == attempt {
 			s.emit(Effect{Do: StreamResponse, Conn: id})
 		}
@@ -73,6 +73,7 @@
 	req, client := attempt.req, attempt.req.client
 	conn.reusable = conn.phase == connWaiting // otherwise set once all of the request was written
 	conn.phase, req.done, req.streaming, client.source = connStreaming, true, true, conn
+	req.payload = nil
 	s.endAttempt(attempt, lg.OK, ev.Load)
 	if s.cfg.Trace != nil {
 		s.trace("F %d streams", req.id)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -169,6 +169,7 @@
 			return
 		}
 		job := c.jobs[0]
+		c.jobs[0] = writeJob{} // an idle connection must not keep the last message that it carried
 		c.jobs = c.jobs[1:]
 		c.mu.Unlock()
 		switch {
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/cloudwego/netpoll"
 
@@ -268,3 +269,23 @@
 		}
 	}
 }
+
+// TestIdleConnectionReleasesMessage guards against idle connections that keep the last message which
+// they carried: with many clients and servers that is as much as the memory limit.
+func TestIdleConnectionReleasesMessage(t *testing.T) {
+	conn, other := openServerConn(t)
+	go io.Copy(io.Discard, other)
+	message := make([]byte, 64<<10)
+	released := weak.Make(&message[0])
+	conn.write(writeJob{buffers: [][]byte{message}, deadline: conn.clock.now() + testTimeout, report: true})
+	message = nil
+	<-conn.inbox.wake
+	conn.inbox.takeAll(nil)
+	for end := time.Now().Add(2 * time.Second); released.Value() != nil && time.Now().Before(end); runtime.GC() {
+		time.Sleep(time.Millisecond) // the goroutine that wrote it ends
+	}
+	if released.Value() != nil {
+		t.Error("the message is still in memory")
+	}
+	runtime.KeepAlive(conn)
+}
--- a/internal/transport/harness_test.go
+++ b/internal/transport/harness_test.go
@@ -19,7 +19,7 @@
 // testProxy is a proxy in this process, between clients, servers and a discovery that a test
 // scripts byte by byte. Each of them acts only when it has seen the previous step.
 type testProxy struct {
-	t         *testing.T
+	t         testing.TB
 	addr      string
 	discovery *fakeServer
 	stop      context.CancelFunc // acts as SIGTERM
@@ -31,7 +31,7 @@
 
 // fakeServer is a listening socket whose connections a test takes one at a time.
 type fakeServer struct {
-	t     *testing.T
+	t     testing.TB
 	addr  string
 	conns chan *scriptedConn
 }
@@ -39,19 +39,19 @@
 // scriptedConn is a side of a connection that a test scripts.
 type scriptedConn struct {
 	*net.TCPConn
-	t      *testing.T
+	t      testing.TB
 	reader *bufio.Reader
 }
 
 // newScriptedConn takes over a connection until the end of the test.
-func newScriptedConn(t *testing.T, socket net.Conn) *scriptedConn {
+func newScriptedConn(t testing.TB, socket net.Conn) *scriptedConn {
 	t.Cleanup(func() { socket.Close() })
 	_ = socket.SetDeadline(time.Now().Add(testTimeout))
 	return &scriptedConn{TCPConn: socket.(*net.TCPConn), t: t, reader: bufio.NewReader(socket)}
 }
 
 // newFakeServer starts a fakeServer.
-func newFakeServer(t *testing.T) *fakeServer {
+func newFakeServer(t testing.TB) *fakeServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -155,7 +155,7 @@
 
 // startProxy starts a proxy that knows the given list from its start; the test answers its calls to
 // discovery.
-func startProxy(t *testing.T, list string, change ...func(*settings.Node)) *testProxy {
+func startProxy(t testing.TB, list string, change ...func(*settings.Node)) *testProxy {
 	t.Helper()
 	proxy := &testProxy{t: t, addr: freeAddr(t), discovery: newFakeServer(t), reloads: make(chan Reload, 1),
 		exit: make(chan error, 1)}
@@ -186,7 +186,7 @@
 
 // freeAddr returns an address on which nobody listens. Its host is random, so that connections of
 // other processes are not given its port meanwhile.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	host := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(200), rand.IntN(200), 1+rand.IntN(200))
 	free, err := net.Listen("tcp", host)
--- a/internal/transport/proxy.go
+++ b/internal/transport/proxy.go
@@ -68,7 +68,7 @@
 	socketShared      bool            // the listening socket is shared with other processes of this proxy
 	startAccepting    func()          // starts accepting connections; nil once that is done
 	handoverWriter    *handoverWriter // nil: no handover to a next process
-	buffers           bufferPool
+	buffers           *bufferPool
 	limits            settings.Limits
 	staleClassesUntil time.Duration // classes that a reload dropped are accepted until then
 	done              bool
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -23,28 +23,40 @@
 // connections, beyond what had arrived before streaming began.
 const streamBufferSize = 32 << 10
 
-// bufferPool limits the bytes in transit of all bodies together. A body waits for its buffer.
-type bufferPool chan []byte
-
 // streamMemoryDivisor divides the memory limit: the buffers of the pool may take that fraction of
 // it.
 const streamMemoryDivisor = 8
 
+// minStreamBuffers is the number of bodies that are always copied at the same time.
+const minStreamBuffers = 4
+
+// streamBuffer holds the bytes of one body that are in transit.
+type streamBuffer [streamBufferSize]byte
+
+// bufferPool limits the bytes in transit of all bodies together. A body waits for its buffer. Buffers
+// that nobody uses are left to the garbage collector.
+type bufferPool struct {
+	inUse chan struct{} // has an element for each buffer that is in use
+	free  sync.Pool     // of *streamBuffer
+}
+
 // newBufferPool returns the pool for a memory limit in bytes.
-func newBufferPool(memory int64) bufferPool {
-	pool := make(bufferPool, max(4, memory/streamMemoryDivisor/streamBufferSize))
-	for range cap(pool) {
-		pool <- nil // allocated when it is first used
-	}
-	return pool
+func newBufferPool(memory int64) *bufferPool {
+	limit := max(minStreamBuffers, memory/streamMemoryDivisor/streamBufferSize)
+	return &bufferPool{inUse: make(chan struct{}, limit),
+		free: sync.Pool{New: func() any { return new(streamBuffer) }}}
 }
 
 // get waits for a buffer.
-func (pool bufferPool) get() []byte {
-	if buffer := <-pool; buffer != nil {
-		return buffer
-	}
-	return make([]byte, streamBufferSize)
+func (pool *bufferPool) get() *streamBuffer {
+	pool.inUse <- struct{}{}
+	return pool.free.Get().(*streamBuffer)
+}
+
+// put returns a buffer.
+func (pool *bufferPool) put(buffer *streamBuffer) {
+	pool.free.Put(buffer)
+	<-pool.inUse
 }
 
 // bodyStream is a body that is copied from one connection to another as it arrives. It can be sent
@@ -53,7 +65,7 @@
 	message  *http1.Message // with the part of the body that had arrived when it was found to be large
 	source   *connection
 	length   int64 // of the body in bytes, -1 when it is not known
-	buffers  bufferPool
+	buffers  *bufferPool
 	isUpload bool
 	complete bool // the reducer knows that its last byte has arrived
 	http10   bool // the receiver doesn't support chunks: the end of the connection is the end of the body
@@ -166,8 +178,9 @@
 	if err := send(s.message.Body, false); err != nil {
 		return nil, err
 	}
-	buffer := s.buffers.get()
-	defer func() { s.buffers <- buffer }()
+	inTransit := s.buffers.get()
+	defer s.buffers.put(inTransit)
+	buffer := inTransit[:]
 	for !s.body.Done {
 		n, err := s.readSource(destination, buffer)
 		if n == 0 && err == io.EOF && s.body.UntilClose() && !stdConnReset(s.source.stdConn) {
