--- a/internal/reducer/clients.go
+++ b/internal/reducer/clients.go
@@ -225,8 +225,7 @@
 	s.setPhase(client, clientAnswering)
 	client.hasRequested = true
 	client.closeAfterAnswer = client.closeAfterAnswer || effect.Last || s.stopping || s.leaving()
-	effect.Do, effect.Conn, effect.Last, effect.At = AnswerClient, id, client.closeAfterAnswer,
-		s.now+responseWriteTimeout
+	effect.Do, effect.Conn, effect.Last = AnswerClient, id, client.closeAfterAnswer
 	s.emit(effect)
 }
 
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -232,9 +232,11 @@
 
 // The effects. Most are followed by an event that reports the result.
 const (
-	AnswerClient     Do = iota // write an answer to the client connection by At; ResponseWritten follows
-	CheckClientIdle            // ClientIdleConfirmed follows if the client connection holds no unread input
-	CloseClientWrite           // shut down writing on the client connection; reading goes on until it closes
+	// AnswerClient writes an answer to the client connection, for as long as the client takes any of it;
+	// ResponseWritten follows.
+	AnswerClient     Do = iota
+	CheckClientIdle     // ClientIdleConfirmed follows if the client connection holds no unread input
+	CloseClientWrite    // shut down writing on the client connection; reading goes on until it closes
 	CloseClientConn
 	Dial    // open server connection Conn to Server by At; ServerDialed follows
 	Forward // write Payload to the server connection by At; RequestWritten follows
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -13,18 +13,17 @@
 
 // Timeouts and intervals of the state machine.
 const (
-	answerMargin         = 5 * time.Millisecond // the final answer is given this long before the client gives up
-	sweepInterval        = 250 * time.Millisecond
-	firstRequestTimeout  = 2 * time.Second         // a new connection that has sent nothing is closed after this
-	requestReadTimeout   = 2500 * time.Millisecond // to receive a request; the first counts from its connection
-	newClientGrace       = 250 * time.Millisecond  // clients about to send a request have begun by then,
-	usualReadTime        = time.Second             // and have sent all of it by then
-	clientIdleTimeout    = 10 * time.Second        // an idle client connection is closed after this
-	responseWriteTimeout = 10 * time.Second        // an answer that its client doesn't read is given up
-	closeWriteTimeout    = time.Second             // from closing the write side to closing the connection
-	drainDelay           = 400 * time.Millisecond  // new clients still arrive this long after a stop begins
-	streamDelay          = 20 * time.Millisecond   // an answer of unknown length is held back for this long
-	drainInterval        = 50 * time.Millisecond   // after drainDelay, between two closings of idle connections
+	answerMargin        = 5 * time.Millisecond // the final answer is given this long before the client gives up
+	sweepInterval       = 250 * time.Millisecond
+	firstRequestTimeout = 2 * time.Second         // a new connection that has sent nothing is closed after this
+	requestReadTimeout  = 2500 * time.Millisecond // to receive a request; the first counts from its connection
+	newClientGrace      = 250 * time.Millisecond  // clients about to send a request have begun by then,
+	usualReadTime       = time.Second             // and have sent all of it by then
+	clientIdleTimeout   = 10 * time.Second        // an idle client connection is closed after this
+	closeWriteTimeout   = time.Second             // from closing the write side to closing the connection
+	drainDelay          = 400 * time.Millisecond  // new clients still arrive this long after a stop begins
+	streamDelay         = 20 * time.Millisecond   // an answer of unknown length is held back for this long
+	drainInterval       = 50 * time.Millisecond   // after drainDelay, between two closings of idle connections
 )
 
 // Config is the initial configuration of a State.
--- a/internal/reducer/streams.go
+++ b/internal/reducer/streams.go
@@ -81,7 +81,7 @@
 	s.setPhase(client, clientAnswering)
 	client.closeAfterAnswer = client.closeAfterAnswer || s.stopping
 	s.emit(Effect{Do: AnswerClient, Conn: client.id, Verdict: Served, Payload: ev.Payload,
-		Last: client.closeAfterAnswer, At: s.now + responseWriteTimeout})
+		Last: client.closeAfterAnswer})
 }
 
 // streamEnded handles the end of an answer that was passed on, or that its client has left.
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -38,7 +38,7 @@
 		p.step(parseFailure(conn.id, http1.ErrBodySize))
 	case conn.parser.Partial():
 		if conn.parser.WantsContinue() {
-			conn.write(writeJob{buffers: http1.Continue(), deadline: p.now() + continueTimeout})
+			conn.write(writeJob{buffers: http1.Continue()})
 		}
 		if conn.parser.Large() && conn.isDetached {
 			p.startUpload(conn)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -67,7 +67,7 @@
 // writeJob is one gathered write, or another action in the order of the writes.
 type writeJob struct {
 	buffers  [][]byte
-	deadline time.Duration // on the proxy's clock
+	deadline time.Duration // on the proxy's clock; 0: it may wait for as long as the other side takes bytes
 	report   bool          // post a written item at the end
 	detach   bool          // detach the connection instead of writing
 	stream   func()        // stream a body instead of writing
@@ -182,13 +182,21 @@
 			job.stream()
 			continue
 		}
-		err := c.send(job.buffers, c.clock.until(job.deadline))
+		err := c.send(job.buffers, c.limit(job))
 		if job.report {
 			c.inbox.post(written{conn: c, err: err})
 		}
 	}
 }
 
+// limit returns how long a job's write may wait.
+func (c *connection) limit(job writeJob) writeLimit {
+	if job.deadline == 0 {
+		return writeLimit{stall: stallTimeout}
+	}
+	return writeLimit{deadline: time.Now().Add(c.clock.until(job.deadline))}
+}
+
 // usable reports whether a server connection can carry a request: it is open, and nothing has
 // arrived on it that the next request could take for its response, neither in the parser nor on its
 // way there nor unread.
@@ -251,6 +259,11 @@
 // close closes a connection, open or not.
 func (c *connection) close() {
 	c.closing = true
+	c.closeSocket()
+}
+
+// closeSocket is close for goroutines other than the reducer's.
+func (c *connection) closeSocket() {
 	c.discarding.Store(true)
 	c.mu.Lock()
 	stdConn := c.stdConn
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 	"weak"
@@ -289,3 +290,8 @@
 	}
 	runtime.KeepAlive(conn)
 }
+
+// setAttachedSendBuffer fixes the size of the kernel's send buffer of a connection that was not detached.
+func setAttachedSendBuffer(conn *connection, size int) error {
+	return syscall.SetsockoptInt(conn.socket.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, size)
+}
--- a/internal/transport/effects.go
+++ b/internal/transport/effects.go
@@ -32,7 +32,7 @@
 				return
 			}
 			p.observer.recordUnserved(conn, effect, p.now())
-			conn.write(writeJob{buffers: encodeAnswer(effect), deadline: effect.At, report: true})
+			conn.write(writeJob{buffers: encodeAnswer(effect), report: true})
 		}
 	case reducer.CheckClientIdle:
 		if conn := p.clientConns[effect.Conn]; conn != nil {
--- a/internal/transport/proxy.go
+++ b/internal/transport/proxy.go
@@ -35,9 +35,6 @@
 // fraction of it. Otherwise the server might close the connection while a request is being sent.
 const idleTimeoutDivisor = 4
 
-// continueTimeout limits how long a client may take to read a 100 Continue response.
-const continueTimeout = 10 * time.Second
-
 // maxPipelinedBytes limits what a client may send ahead while its request is being processed: a few
 // requests with small bodies.
 const maxPipelinedBytes = http1.MaxHead
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -13,10 +13,9 @@
 
 // Time limits of streamed bodies.
 const (
-	uploadPauseBudget = 2 * time.Second  // total time that a client may pause,
-	minUploadRate     = 48 << 10         // bytes per second: each byte received adds to that time,
-	maxUploadPause    = 2 * time.Second  // limit of one pause, whatever was received before
-	stallTimeout      = 10 * time.Second // a side that reads or sends nothing for so long has failed
+	uploadPauseBudget = 2 * time.Second // total time that a client may pause,
+	minUploadRate     = 48 << 10        // bytes per second: each byte received adds to that time,
+	maxUploadPause    = 2 * time.Second // limit of one pause, whatever was received before
 )
 
 // streamBufferSize is the number of bytes that one body may have in transit between its two
@@ -163,7 +162,7 @@
 		if chunked && last {
 			buffers = append(buffers, http1.LastChunk)
 		}
-		if err := destination.send(buffers, stallTimeout); err != nil {
+		if err := destination.send(buffers, writeLimit{stall: stallTimeout}); err != nil {
 			if !s.isDestination(destination, false) {
 				return errStopped
 			}
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -1,7 +1,9 @@
 package transport
 
 import (
+	"errors"
 	"net"
+	"os"
 	"runtime"
 	"slices"
 	"syscall"
@@ -20,16 +22,16 @@
 	maxRetryDelay     = 10 * time.Millisecond
 )
 
-// send writes the buffers in order. It waits until they are written, for timeout at most, or until
-// the connection is closed.
-func (c *connection) send(buffers [][]byte, timeout time.Duration) error {
-	if timeout <= 0 {
+// send writes the buffers in order. It waits until they are written, as long as the limit allows, or
+// until the connection is closed.
+func (c *connection) send(buffers [][]byte, limit writeLimit) error {
+	wait := newWriteWait(limit)
+	if wait.expired(wait.movedAt) {
 		return errDeadlinePassed
 	}
-	deadline := time.Now().Add(timeout)
 	for delay := initialRetryDelay; ; delay = min(2*delay, maxRetryDelay) {
-		err := c.trySend(&buffers, deadline)
-		if err == nil || !transient.Transfer(err) || time.Now().Add(delay).After(deadline) {
+		err := c.trySend(&buffers, &wait)
+		if err == nil || !transient.Transfer(err) || wait.expired(time.Now().Add(delay)) {
 			return err
 		}
 		time.Sleep(delay)
@@ -38,7 +40,7 @@
 
 // trySend writes as much as possible and removes it from remaining. After a transient error it may
 // be called again.
-func (c *connection) trySend(remaining *[][]byte, deadline time.Time) error {
+func (c *connection) trySend(remaining *[][]byte, wait *writeWait) error {
 	c.mu.Lock()
 	if c.detaching && !c.buffersFreed { // being detached
 		c.mu.Unlock()
@@ -47,7 +49,7 @@
 	}
 	if stdConn := c.stdConn; stdConn != nil {
 		c.mu.Unlock()
-		return sendStd(stdConn, remaining, deadline)
+		return sendStd(stdConn, remaining, wait)
 	}
 	err := c.writeNonblocking(remaining)
 	if err == syscall.EAGAIN { // the other side reads slowly: the library waits for it
@@ -59,13 +61,67 @@
 	if err != nil || c.bufferedBytes == 0 {
 		return err
 	}
-	err = flush(c.socket, time.Until(deadline))
-	if err == nil {
+	if err = c.flush(wait); err == nil {
 		c.bufferedBytes = 0
 	}
 	return err
 }
 
+// flush has the library write what it has buffered. The library can only wait until all of it is
+// written or a timeout has passed, and can't go on after that: so it is given the deadline, and a
+// connection whose other side takes nothing is closed meanwhile.
+func (c *connection) flush(wait *writeWait) error {
+	if wait.limit.stall > 0 {
+		watched := *wait // on the heap, but only if a write has to wait
+		done, stopped := make(chan struct{}), make(chan struct{})
+		go func() {
+			c.closeWhenStalled(&watched, done)
+			close(stopped)
+		}()
+		defer func() {
+			close(done)
+			<-stopped
+		}()
+	}
+	return flush(c.socket, wait.untilDeadline(time.Now()))
+}
+
+// closeWhenStalled closes a connection once its other side has taken nothing for too long, unless done
+// is closed before.
+func (c *connection) closeWhenStalled(wait *writeWait, done <-chan struct{}) {
+	ticker := time.NewTicker(wait.untilLook(time.Now()))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		if !c.lookAtQueue(wait) {
+			return
+		}
+		if wait.expired(time.Now()) {
+			// The rest must not look like the whole of an answer that the connection's end delimits.
+			c.resetOnClose()
+			c.closeSocket()
+			return
+		}
+	}
+}
+
+// lookAtQueue checks whether the other side has taken bytes. It returns false if the connection is
+// closed.
+func (c *connection) lookAtQueue(wait *writeWait) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	descriptor, ok := c.socket.(netpoll.Conn)
+	if !ok || c.buffersFreed {
+		return false
+	}
+	wait.look(unacknowledged(descriptor.Fd()), time.Now())
+	return true
+}
+
 // writeNonblocking writes what the kernel accepts at once. It bypasses the library, which closes a
 // connection at a transient error. EAGAIN means that the kernel accepts no more for now. The caller
 // holds c.mu, so that the descriptor is still the connection's.
@@ -150,12 +206,36 @@
 
 // sendStd writes to a connection of the standard library, and removes what was written from
 // remaining.
-func sendStd(conn net.Conn, remaining *[][]byte, deadline time.Time) error {
-	if err := conn.SetWriteDeadline(deadline); err != nil {
+func sendStd(conn net.Conn, remaining *[][]byte, wait *writeWait) error {
+	buffers := net.Buffers(slices.Clone(*remaining)) // WriteTo removes what it has written
+	for {
+		if err := conn.SetWriteDeadline(time.Now().Add(wait.untilLook(time.Now()))); err != nil {
+			return err
+		}
+		n, err := buffers.WriteTo(conn)
+		*remaining = buffers
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if n > 0 {
+			wait.moved(time.Now())
+		} else if err := lookAtStdQueue(conn, wait); err != nil {
+			return err
+		}
+		if wait.expired(time.Now()) {
+			return err
+		}
+	}
+}
+
+// lookAtStdQueue is lookAtQueue of a connection of the standard library.
+func lookAtStdQueue(conn net.Conn, wait *writeWait) error {
+	rawConn, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
 		return err
 	}
-	buffers := net.Buffers(slices.Clone(*remaining)) // WriteTo removes what it has written
-	_, err := buffers.WriteTo(conn)
-	*remaining = buffers
+	queued := unknownQueue
+	err = rawConn.Control(func(fd uintptr) { queued = unacknowledged(int(fd)) })
+	wait.look(queued, time.Now())
 	return err
 }
