--- a/internal/reducer/clients.go
+++ b/internal/reducer/clients.go
@@ -126,7 +126,10 @@
 		deadline: ev.Deadline - answerMargin, payload: ev.Payload,
 		counts: s.countReceived(s.counters.classes[ev.Class])}
 	req.unsafe = s.cfg.Settings.Classes[ev.Class].Effect == lg.Unsafe
-	if req.stream, req.timeout = ev.Stream, ev.Timeout; ev.HasKey {
+	if req.stream, req.timeout = ev.Stream, ev.Timeout; !req.stream {
+		req.deadline = s.limitedByStop(req.deadline)
+	}
+	if ev.HasKey {
 		req.key = ev.Key
 	}
 	req.deliverBy = s.now + max(0, req.deadline-s.now)/2
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -21,9 +21,7 @@
 	usualReadTime       = time.Second             // and have sent all of it by then
 	clientIdleTimeout   = 10 * time.Second        // an idle client connection is closed after this
 	closeWriteTimeout   = time.Second             // from closing the write side to closing the connection
-	drainDelay          = 400 * time.Millisecond  // new clients still arrive this long after a stop begins
 	streamDelay         = 20 * time.Millisecond   // an answer of unknown length is held back for this long
-	drainInterval       = 50 * time.Millisecond   // after drainDelay, between two closings of idle connections
 )
 
 // Config is the initial configuration of a State.
@@ -76,9 +74,10 @@
 	lastRequestID       lg.RequestID
 	list                listState
 	stopping            bool
-	drained             bool // no more clients are expected
-	drainingAcceptQueue bool // DrainAcceptQueue was requested and is unanswered
-	acceptQueueDrained  bool // it was answered in this step
+	stopDeadline        time.Duration // when the requests of a process that stops must be answered; see stop.go
+	drained             bool          // no more clients are expected
+	drainingAcceptQueue bool          // DrainAcceptQueue was requested and is unanswered
+	acceptQueueDrained  bool          // it was answered in this step
 	counters            counters
 	locations           map[lg.ServerID]sendguard.Location
 	violations          sendguard.Counts
@@ -363,12 +362,7 @@
 		s.counters.configLoadErrors++
 		s.metricsChanged()
 	case Stopping:
-		if !s.stopping {
-			s.stopping = true
-			s.limitServerConns()
-			s.publishReadiness()
-			s.timers.add(s.now+drainDelay, s.drain)
-		}
+		s.stop()
 	}
 }
 
@@ -471,23 +465,6 @@
 	return values
 }
 
-// drain closes idle clients, and repeats this for those that still connect.
-func (s *State) drain() {
-	s.drained = true
-	s.timers.add(s.now+drainInterval, s.drain)
-	s.closeIdleClients()
-}
-
-// closeIdleClients closes idle clients, except those that have just connected and are about to send a
-// request.
-func (s *State) closeIdleClients() {
-	for _, client := range sortedValues(s.clients) {
-		if client.phase == clientIdle && (client.hasRequested || s.now-client.since >= newClientGrace) {
-			s.checkIdle(client)
-		}
-	}
-}
-
 // checkIdle closes an idle connection if no input is pending on it: the transport checks, and
 // ClientIdleConfirmed follows. Otherwise a request that is on its way to the reducer would be lost;
 // this way it is answered. An idle connection is closed in no other way.
@@ -506,25 +483,3 @@
 		s.closeWrite(client, cause)
 	}
 }
-
-// finishOrDrain ends the process once nothing is due to any client. It drains the accept queue first:
-// otherwise a client that has connected, but is not reported yet, would get no answer.
-func (s *State) finishOrDrain() {
-	switch {
-	case s.acceptQueueDrained:
-		s.emit(Effect{Do: Finish})
-	case !s.drainingAcceptQueue:
-		s.drainingAcceptQueue = true
-		s.emit(Effect{Do: DrainAcceptQueue})
-	}
-}
-
-// hasOpenClients reports whether any client connection may still be sent something.
-func (s *State) hasOpenClients() bool {
-	for _, client := range s.clients {
-		if client.phase != clientClosing {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/reducer/streams.go
+++ b/internal/reducer/streams.go
@@ -10,7 +10,7 @@
 	}
 	req := client.req
 	req.completeAt = max(1, s.now)
-	req.deadline = min(req.deadline, ev.ReadAt+req.timeout-answerMargin)
+	req.deadline = s.limitedByStop(min(req.deadline, ev.ReadAt+req.timeout-answerMargin))
 	if req.attempt != nil {
 		req.attempt.deadline = req.deadline
 	}
