--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -50,7 +50,14 @@
 	Timeout time.Duration
 }
 
-// RequestBodyComplete reports that the last byte of a streamed request has arrived, at ReadAt.
+// RequestBodyArrived reports that the last byte of a streamed request has arrived, though it can't be read
+// yet. The request's time counts from it. RequestBodyComplete or RequestBodyFailed may follow.
+type RequestBodyArrived struct {
+	Conn      ConnID
+	ArrivedAt time.Duration
+}
+
+// RequestBodyComplete reports that the last byte of a streamed request was read, at ReadAt.
 type RequestBodyComplete struct {
 	Conn   ConnID
 	ReadAt time.Duration
@@ -220,6 +227,7 @@
 func (LearnedReceived) event()      {}
 func (ClientIdleConfirmed) event()  {}
 func (AcceptQueueDrained) event()   {}
+func (RequestBodyArrived) event()   {}
 func (RequestBodyComplete) event()  {}
 func (RequestBodyFailed) event()    {}
 func (ResponseStreaming) event()    {}
--- a/internal/reducer/fuzz_test.go
+++ b/internal/reducer/fuzz_test.go
@@ -26,7 +26,7 @@
 // random takes one step that the transport, clients or discovery could take now.
 func (m *model) random(rng *rand.Rand) {
 	m.now += time.Duration(rng.IntN(4)) * ms // events coincide with timers that are due
-	switch rng.IntN(15) {
+	switch rng.IntN(16) {
 	case 0, 1, 2, 3:
 		client := pick(rng, m.clients, func(req *modelRequest) bool { return req == nil })
 		if _, busy := m.writing[client]; client == 0 || busy || rng.IntN(3) == 0 {
@@ -94,10 +94,13 @@
 				conn.req.inFlight, conn.req = false, nil
 				m.step(ServerClosed{id})
 			} else {
-				m.requestsWritten++
 				if conn.req.stream && !conn.req.complete {
 					m.completeBody(conn.req)
 				}
+				if m.serverConns[id] == nil { // its time was over when its last byte was read
+					break
+				}
+				m.requestsWritten++
 			}
 			m.step(RequestWritten{Conn: id, OK: conn.written, BodyConsumed: consumed})
 		}
@@ -136,6 +139,12 @@
 			m.flooding[client] = true
 			m.step(ClientFlooding{client})
 		}
+	case 15:
+		if client := pick(rng, m.clients, func(req *modelRequest) bool {
+			return req != nil && req.stream && !req.complete && req.answers == 0
+		}); client != 0 {
+			m.arriveUnread(m.clients[client])
+		}
 	case 12:
 		if rng.IntN(4) == 0 {
 			m.updateList(lg.Changes, []lg.State{lg.Ready, lg.Ready, lg.Draining, lg.Gone}[rng.IntN(4)],
--- a/internal/reducer/model_test.go
+++ b/internal/reducer/model_test.go
@@ -34,7 +34,8 @@
 	left         bool
 	verdict      Verdict
 	stream       bool // it is forwarded while it arrives
-	complete     bool // and its last byte has arrived
+	arrived      bool // its last byte has arrived,
+	complete     bool // and was read
 	bodyConsumed bool // it can't be sent again
 	truncated    bool // its answer was not passed on completely
 }
--- a/internal/reducer/modelevents_test.go
+++ b/internal/reducer/modelevents_test.go
@@ -55,10 +55,24 @@
 
 // completeBody brings the last byte of a streamed request.
 func (m *model) completeBody(req *modelRequest) {
-	req.complete, req.deadline = true, m.now+m.s.cfg.Settings.Classes[req.class].Deadline
+	m.startTimeout(req)
+	req.complete = true
 	m.step(RequestBodyComplete{Conn: req.conn, ReadAt: m.now})
 }
 
+// arriveUnread has the last byte of a streamed request arrive while nobody can read it.
+func (m *model) arriveUnread(req *modelRequest) {
+	m.startTimeout(req)
+	m.step(RequestBodyArrived{Conn: req.conn, ArrivedAt: m.now})
+}
+
+// startTimeout has the client of a streamed request wait from now on, unless it does already.
+func (m *model) startTimeout(req *modelRequest) {
+	if !req.arrived {
+		req.arrived, req.deadline = true, m.now+m.s.cfg.Settings.Classes[req.class].Deadline
+	}
+}
+
 // endExchange ends the exchange on a server connection, as the transport reports it.
 func (m *model) endExchange(id ConnID, result lg.Result, reusable bool) {
 	conn := m.serverConns[id]
--- a/internal/reducer/sendchecks.go
+++ b/internal/reducer/sendchecks.go
@@ -56,7 +56,8 @@
 
 // checkAnswer checks that a request gets its final answer while its client still waits.
 func (s *State) checkAnswer(req *request) {
-	if req.client != nil && !req.stream && s.now > req.deadline+answerMargin+lateAnswerGrace {
+	arrived := !req.stream || req.arrivedAt > 0
+	if req.client != nil && arrived && s.now > req.deadline+answerMargin+lateAnswerGrace {
 		s.recordViolation(sendguard.Overdue, req)
 	}
 }
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -146,7 +146,7 @@
 	conn.phase, conn.attempt, attempt.conn = connWriting, attempt, conn
 	s.list.attemptSent(s.now)
 	deadline := attempt.deadline
-	if req := attempt.req; req.stream && req.completeAt == 0 {
+	if req := attempt.req; req.stream && req.arrivedAt == 0 {
 		deadline = s.now + req.timeout // it counts from the last byte, so all of it is left
 	}
 	effect := Effect{Do: Forward, Conn: ConnID(conn.ID), Client: attempt.req.client.id,
@@ -199,8 +199,8 @@
 	s.metricsChanged()
 	start := attempt.sentAt
 	if req.stream { // the latency of a streamed request counts from its last byte
-		start = max(start, req.completeAt)
-		if req.completeAt == 0 {
+		start = max(start, req.arrivedAt, req.completeAt)
+		if req.arrivedAt == 0 {
 			start = s.now
 		}
 	}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -133,7 +133,8 @@
 	timedOut     bool          // an attempt has timed out
 	stream       bool          // it is forwarded while it arrives,
 	timeout      time.Duration // and its timeout counts from its last byte,
-	completeAt   time.Duration // which arrived at this time; 0 if it has not
+	arrivedAt    time.Duration // which arrived at this time; 0 if it has not, as far as is known,
+	completeAt   time.Duration // and was read at this time; 0 if it was not
 	bodyConsumed bool          // it can't be sent again
 	streaming    bool          // its answer is passed on while it arrives
 	done         bool          // the final answer was given, or none is due
@@ -292,6 +293,8 @@
 		}
 	case RequestReceived:
 		s.requestReceived(ev)
+	case RequestBodyArrived:
+		s.bodyArrived(ev)
 	case RequestBodyComplete:
 		s.bodyComplete(ev)
 	case RequestBodyFailed:
--- a/internal/reducer/stop.go
+++ b/internal/reducer/stop.go
@@ -52,7 +52,7 @@
 // limited once its last byte has come.
 func (s *State) limitOpenRequests() {
 	for _, req := range sortedValues(s.requests) {
-		if req.done || req.stream && req.completeAt == 0 {
+		if req.done || req.stream && req.arrivedAt == 0 {
 			continue
 		}
 		req.deadline = s.limitedByStop(req.deadline)
--- a/internal/reducer/streams.go
+++ b/internal/reducer/streams.go
@@ -1,16 +1,45 @@
 package reducer
 
-import lg "lilacglade"
+import (
+	"time"
 
-// bodyComplete handles the end of a streamed request: its timeout counts from here.
-func (s *State) bodyComplete(ev RequestBodyComplete) {
-	client := s.clients[ev.Conn]
+	lg "lilacglade"
+)
+
+// arrivingRequest returns the streamed request that is arriving on a client connection, nil if there is
+// none.
+func (s *State) arrivingRequest(id ConnID) *request {
+	client := s.clients[id]
 	if client == nil || client.req == nil || !client.req.stream || client.req.completeAt > 0 {
+		return nil
+	}
+	return client.req
+}
+
+// bodyArrived handles a streamed request whose last byte is here but can't be read, because its server
+// takes nothing or it waits for one.
+func (s *State) bodyArrived(ev RequestBodyArrived) {
+	if req := s.arrivingRequest(ev.Conn); req != nil {
+		s.startTimeout(req, ev.ArrivedAt)
+	}
+}
+
+// bodyComplete handles the end of a streamed request.
+func (s *State) bodyComplete(ev RequestBodyComplete) {
+	if req := s.arrivingRequest(ev.Conn); req != nil {
+		req.completeAt = max(1, s.now)
+		s.startTimeout(req, ev.ReadAt)
+	}
+}
+
+// startTimeout has the timeout of a streamed request count from the arrival of its last byte, unless it
+// does already.
+func (s *State) startTimeout(req *request, arrivedAt time.Duration) {
+	if req.arrivedAt > 0 {
 		return
 	}
-	req := client.req
-	req.completeAt = max(1, s.now)
-	req.deadline = s.limitedByStop(min(req.deadline, ev.ReadAt+req.timeout-answerMargin))
+	req.arrivedAt = max(1, arrivedAt)
+	req.deadline = s.limitedByStop(min(req.deadline, arrivedAt+req.timeout-answerMargin))
 	if req.attempt != nil {
 		req.attempt.deadline = req.deadline
 	}
@@ -19,11 +48,11 @@
 
 // bodyFailed ends a request whose rest can't be received.
 func (s *State) bodyFailed(ev RequestBodyFailed) {
-	client := s.clients[ev.Conn]
-	if client == nil || client.req == nil || !client.req.stream || client.req.completeAt > 0 {
+	req := s.arrivingRequest(ev.Conn)
+	if req == nil {
 		return
 	}
-	req, effect := client.req, Effect{Verdict: Invalid, Payload: ev.Payload, Last: true}
+	effect := Effect{Verdict: Invalid, Payload: ev.Payload, Last: true}
 	if ev.TimedOut {
 		effect.Verdict = TooSlow
 	}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -94,8 +94,9 @@
 	event := p.parsedRequest(conn, message)
 	if request, ok := event.(reducer.RequestReceived); ok {
 		stream := &bodyStream{message: message, source: conn, length: body.Length(),
-			buffers: p.buffers, isUpload: true, body: body}
+			buffers: p.buffers, peeks: &p.peeks, isUpload: true, body: body}
 		conn.streaming = true
+		watchUpload(stream, conn.lastRead)
 		remaining := stream.length - body.Received()
 		if stream.length < 0 {
 			remaining = http1.MaxStreamedBody
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -40,6 +40,8 @@
 		default:
 			p.readConn(conn, false)
 		}
+	case bodyArrived:
+		p.step(reducer.RequestBodyArrived{Conn: item.stream.source.id, ArrivedAt: p.at(item.arrivedAfter)})
 	case bodyComplete:
 		item.stream.complete = true
 		p.step(reducer.RequestBodyComplete{Conn: item.stream.source.id, ReadAt: p.at(item.readAt)})
--- a/internal/transport/inbox.go
+++ b/internal/transport/inbox.go
@@ -52,8 +52,12 @@
 		delay        time.Duration // how long before it was read it may have arrived
 		fromDetached bool          // read by readNext
 	}
-	detached     struct{ conn *connection }
-	bodyComplete struct { // the last byte of a client's body has arrived
+	detached    struct{ conn *connection }
+	bodyArrived struct { // the last byte of a client's body has arrived and is unread
+		stream       *bodyStream
+		arrivedAfter time.Time // it was not here before
+	}
+	bodyComplete struct { // the last byte of a client's body was read
 		stream *bodyStream
 		readAt time.Time
 	}
--- a/internal/transport/proxy.go
+++ b/internal/transport/proxy.go
@@ -66,6 +66,7 @@
 	startAccepting    func()          // starts accepting connections; nil once that is done
 	handoverWriter    *handoverWriter // nil: no handover to a next process
 	buffers           *bufferPool
+	peeks             peekBuffer
 	limits            settings.Limits
 	staleClassesUntil time.Duration // classes that a reload dropped are accepted until then
 	done              bool
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -69,7 +69,10 @@
 	complete bool // the reducer knows that its last byte has arrived
 	http10   bool // the receiver doesn't support chunks: the end of the connection is the end of the body
 
+	peeks *peekBuffer
+
 	running sync.Mutex // held while it is being copied
+	reading sync.Mutex // held while bytes are read and decoded
 	body    http1.Body // decodes what follows
 	readBudget
 	mu          sync.Mutex
@@ -129,6 +132,7 @@
 	errStopped    = errors.New("stopped")
 	errReceiver   = errors.New("the receiver failed")
 	errClientLeft = errors.New("the client has left")
+	errEndOfBody  = errors.New("the body has ended with its connection")
 )
 
 // clientHungUp reports whether the client of an upload has closed its connection. While a request
@@ -149,56 +153,25 @@
 	case s.clientHungUp():
 		return nil, errClientLeft
 	}
-	chunked := s.length < 0 && !s.http10
-	send := func(data []byte, last bool) error {
-		buffers := head
-		head = nil
-		switch {
-		case !chunked:
-			buffers = append(buffers, data)
-		case len(data) > 0:
-			buffers = append(buffers, http1.ChunkHead(len(data)), data, http1.ChunkEnd)
-		}
-		if chunked && last {
-			buffers = append(buffers, http1.LastChunk)
-		}
-		if err := destination.send(buffers, writeLimit{stall: stallTimeout}); err != nil {
-			if !s.isDestination(destination, false) {
-				return errStopped
-			}
-			return fmt.Errorf("%w: %w", errReceiver, err)
-		}
-		return nil
-	}
+	out := bodyWriter{stream: s, destination: destination, head: head}
 	if s.body.Done {
 		onComplete()
-		return nil, send(s.message.Body, true)
+		return nil, out.send(s.message.Body, true)
 	}
-	if err := send(s.message.Body, false); err != nil {
+	if err := out.send(s.message.Body, false); err != nil {
 		return nil, err
 	}
 	inTransit := s.buffers.get()
 	defer s.buffers.put(inTransit)
-	buffer := inTransit[:]
 	for !s.body.Done {
-		n, err := s.readSource(destination, buffer)
-		if n == 0 && err == io.EOF && s.body.UntilClose() && !stdConnReset(s.source.stdConn) {
-			return nil, send(nil, true)
+		data, rest, err := s.receive(destination, inTransit[:])
+		if err == errEndOfBody {
+			return nil, out.send(nil, true)
 		}
-		if n == 0 && err != nil {
+		if err != nil {
 			return nil, err
 		}
-		// The body bytes of one read are sent together: a body that arrives in small chunks is not
-		// written in as many pieces.
-		data, input := buffer[:0], buffer[:n]
-		for len(input) > 0 && !s.body.Done {
-			chunk, remaining, err := s.body.Next(input)
-			if err != nil {
-				return nil, err
-			}
-			data, input = append(data, chunk...), remaining
-		}
-		leftover = append(leftover, input...)
+		leftover = append(leftover, rest...)
 		if !s.isDestination(destination, true) {
 			if !s.isConsumed() {
 				s.message.Body = append(s.message.Body, data...)
@@ -215,13 +188,67 @@
 		if len(data) == 0 && !s.body.Done {
 			continue
 		}
-		if err := send(data, s.body.Done); err != nil {
+		if err := out.send(data, s.body.Done); err != nil {
 			return nil, err
 		}
 	}
 	return leftover, nil
 }
 
+// bodyWriter writes the parts of a body to one destination.
+type bodyWriter struct {
+	stream      *bodyStream
+	destination *connection
+	head        [][]byte // not written yet
+}
+
+// send writes the next part of the body, after the head.
+func (w *bodyWriter) send(data []byte, last bool) error {
+	buffers := w.head
+	w.head = nil
+	chunked := w.stream.length < 0 && !w.stream.http10
+	switch {
+	case !chunked:
+		buffers = append(buffers, data)
+	case len(data) > 0:
+		buffers = append(buffers, http1.ChunkHead(len(data)), data, http1.ChunkEnd)
+	}
+	if chunked && last {
+		buffers = append(buffers, http1.LastChunk)
+	}
+	if err := w.destination.send(buffers, writeLimit{stall: stallTimeout}); err != nil {
+		if !w.stream.isDestination(w.destination, false) {
+			return errStopped
+		}
+		return fmt.Errorf("%w: %w", errReceiver, err)
+	}
+	return nil
+}
+
+// receive reads and decodes the next bytes into the buffer. The body bytes of one read are returned
+// together: a body that arrives in small chunks is not written in as many pieces. It returns the bytes
+// that follow the body as rest, and errEndOfBody if the body ended with its connection.
+func (s *bodyStream) receive(destination *connection, buffer []byte) (data, rest []byte, _ error) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	n, err := s.readSource(destination, buffer)
+	if n == 0 && err == io.EOF && s.body.UntilClose() && !stdConnReset(s.source.stdConn) {
+		return nil, nil, errEndOfBody
+	}
+	if n == 0 && err != nil {
+		return nil, nil, err
+	}
+	data, rest = buffer[:0], buffer[:n]
+	for len(rest) > 0 && !s.body.Done {
+		chunk, remaining, err := s.body.Next(rest)
+		if err != nil {
+			return nil, nil, err
+		}
+		data, rest = append(data, chunk...), remaining
+	}
+	return data, rest, nil
+}
+
 // readSource reads from the connection that the body comes from.
 func (s *bodyStream) readSource(destination *connection, buffer []byte) (int, error) {
 	now := time.Now()
--- /dev/null
+++ b/internal/transport/uploadwatch.go
@@ -0,0 +1,158 @@
+package transport
+
+import (
+	"os"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// uploadLookInterval is the time between two looks of an uploadWatch.
+const uploadLookInterval = 50 * time.Millisecond
+
+// maxUnreadBytes is more than the kernel keeps of a connection that is not being read: its receive buffer,
+// of which it allows twice the size that was set, and the segments that had already been sent.
+const maxUnreadBytes = 4 * receiveBufferSize
+
+// peekBuffer is what unread bytes are copied to, for all connections in turn.
+type peekBuffer struct {
+	mu    sync.Mutex
+	bytes []byte // allocated when it is first used
+}
+
+// peek calls look with the bytes that have arrived on a connection and are unread. They stay unread. It
+// returns the error of a connection that is closed or broken.
+func (p *peekBuffer) peek(rawConn syscall.RawConn, look func(unread []byte)) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.bytes == nil {
+		p.bytes = make([]byte, maxUnreadBytes)
+	}
+	n, peekErr := 0, error(nil)
+	err := rawConn.Control(func(fd uintptr) {
+		n, _, peekErr = syscall.Recvfrom(int(fd), p.bytes, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return err
+	}
+	if peekErr == syscall.EAGAIN || peekErr == syscall.EINTR {
+		n, peekErr = 0, nil
+	}
+	if peekErr == nil {
+		look(p.bytes[:n])
+	}
+	return peekErr
+}
+
+// uploadWatch looks at what arrives of an upload while nothing of it is read: because its server takes
+// nothing, no buffer is free or no attempt has begun. The request's time counts from its last byte, read
+// or not, and its client may pause no longer than when it is read.
+type uploadWatch struct {
+	stream     *bodyStream
+	lookedAt   time.Time // by then all bytes that had arrived were read, or looked at
+	arrived    int64     // bytes by the last look, read or not
+	progressAt time.Time // when bytes last arrived, or the client may have been unable to send any
+}
+
+// watchUpload starts to watch an upload. By lastRead all bytes that had arrived were read.
+func watchUpload(stream *bodyStream, lastRead time.Time) {
+	watch := &uploadWatch{stream: stream, lookedAt: lastRead, progressAt: time.Now()}
+	watch.schedule()
+}
+
+func (w *uploadWatch) schedule() { time.AfterFunc(uploadLookInterval, w.look) }
+
+// look notifies the reducer of what it finds, or schedules the next look.
+func (w *uploadWatch) look() {
+	now, source := time.Now(), w.stream.source
+	state, err := w.state(now)
+	switch state {
+	case uploadArriving:
+		w.lookedAt = now
+		w.schedule()
+	case uploadArrived:
+		source.inbox.post(bodyArrived{stream: w.stream, arrivedAfter: w.lookedAt})
+	case uploadFailed:
+		source.inbox.post(bodyFailed{source, err})
+	}
+}
+
+// uploadState is how far an upload has come.
+type uploadState uint8
+
+const (
+	uploadArriving  uploadState = iota
+	uploadArrived               // its last byte is unread in the kernel
+	uploadRead                  // its last byte was read
+	uploadFailed                // it is malformed, or its client pauses for too long
+	uploadAbandoned             // its client has left
+)
+
+// state tells how far the upload has come, without reading anything. While it is read, nothing of it
+// is unread. The error is the reason for which it failed.
+func (w *uploadWatch) state(now time.Time) (uploadState, error) {
+	s := w.stream
+	if !s.reading.TryLock() {
+		w.progressAt = now
+		return uploadArriving, nil
+	}
+	defer s.reading.Unlock()
+	if s.body.Done {
+		return uploadRead, nil
+	}
+	rawConn, err := s.source.stdConn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return uploadAbandoned, nil
+	}
+	body, unreadBytes, malformed := s.body, 0, error(nil)
+	err = s.peeks.peek(rawConn, func(unread []byte) {
+		unreadBytes = len(unread)
+		for len(unread) > 0 && !body.Done && malformed == nil {
+			_, unread, malformed = body.Next(unread)
+		}
+	})
+	switch {
+	case err != nil:
+		return uploadAbandoned, nil
+	case malformed != nil:
+		return uploadFailed, malformed
+	case body.Done:
+		return uploadArrived, nil
+	case s.clientHungUp():
+		return uploadAbandoned, nil
+	}
+	if arrived := s.received + int64(unreadBytes); arrived != w.arrived || !hasReceiveRoom(rawConn) {
+		w.arrived, w.progressAt = arrived, now
+	}
+	if now.Sub(w.progressAt) >= maxUploadPause {
+		return uploadFailed, os.ErrDeadlineExceeded
+	}
+	return uploadArriving, nil
+}
+
+// Indexes in what SO_MEMINFO tells of a socket (linux/sock_diag.h).
+const (
+	memInfoReceived      = 0 // memory that holds unread bytes
+	memInfoReceiveBuffer = 1 // its limit
+	memInfoCount         = 9
+)
+
+// receiveRoomDivisor divides the receive buffer: if less than that fraction of it is in use, the kernel
+// lets the other side send more.
+const receiveRoomDivisor = 4
+
+// hasReceiveRoom reports whether the other side of a connection can send more though nothing is read. It
+// is false where the kernel doesn't tell.
+func hasReceiveRoom(rawConn syscall.RawConn) bool {
+	var info [memInfoCount]uint32
+	size := uint32(unsafe.Sizeof(info))
+	errno := syscall.EBADF
+	_ = rawConn.Control(func(fd uintptr) {
+		_, _, errno = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.SOL_SOCKET, unix.SO_MEMINFO,
+			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	})
+	return errno == 0 && info[memInfoReceived] < info[memInfoReceiveBuffer]/receiveRoomDivisor
+}
--- a/internal/transport/write_test.go
+++ b/internal/transport/write_test.go
@@ -65,7 +65,7 @@
 			sent := make(chan error, 1)
 			go func() {
 				sent <- conn.send([][]byte{make([]byte, size)}, writeLimit{stall: stall})
-				conn.close()
+				conn.closeSocket()
 			}()
 			total, err := readSlowly(other, perSecond, 8*time.Second)
 			if sendErr := <-sent; total != size || err != nil || sendErr != nil {
