Split handleItem and ServeWithOptions of transport by what each part does

Each item's handling and each step of the start is a function of its own now; the order of the steps is as before. The reducer's tests share the step that opens connections and writes requests, which stood twice; a descriptor is named connection, not leg.

No behaviour changed.

--- a/internal/reducer/modelevents_test.go
+++ b/internal/reducer/modelevents_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// writeRequests opens the server connections that are being dialed, and writes what was forwarded.
+func (m *model) writeRequests() {
+	for id, conn := range m.serverConns {
+		if !conn.open {
+			conn.open = true
+			m.step(ServerDialed{Conn: id, OK: true})
+		}
+	}
+	for id, conn := range m.serverConns {
+		if conn.req != nil {
+			m.step(RequestWritten{Conn: id, OK: true})
+		}
+	}
+}
+
 // endExchange ends the exchange on a server connection, as the transport reports it.
 func (m *model) endExchange(id ConnID, result lg.Result, reusable bool) {
 	conn := m.serverConns[id]
--- a/internal/reducer/stop_test.go
+++ b/internal/reducer/stop_test.go
@@ -22,21 +22,6 @@
 	return m
 }
 
-// sendToHangingServers writes what was forwarded, and no server ever answers.
-func (m *model) sendToHangingServers() {
-	for id, conn := range m.serverConns {
-		if !conn.open {
-			conn.open = true
-			m.step(ServerDialed{Conn: id, OK: true})
-		}
-	}
-	for id, conn := range m.serverConns {
-		if conn.req != nil {
-			m.step(RequestWritten{Conn: id, OK: true})
-		}
-	}
-}
-
 // TestStopAnswersBeforeKill guards against requests that arrive during a planned stop, or were open when
 // it began, and are unanswered when the platform kills the process, because their servers hang.
 func TestStopAnswersBeforeKill(t *testing.T) {
@@ -51,7 +36,7 @@
 			} else {
 				m.sendRequest(1, 1)
 			}
-			m.sendToHangingServers()
+			m.writeRequests()
 			req := m.requests[0]
 			if wait := killAfter - heldUp - arrival; wait > 0 {
 				m.advance(wait)
@@ -69,7 +54,7 @@
 	req := &modelRequest{conn: 1, class: 1, deadline: m.now + time.Minute}
 	m.clients[1], m.requests = req, append(m.requests, req)
 	m.step(RequestReceived{Conn: 1, Name: "1", Class: 1, Deadline: req.deadline, Payload: req})
-	m.sendToHangingServers()
+	m.writeRequests()
 	m.stopping = true
 	m.step(Stopping{})
 	if m.advance(killAfter - heldUp); req.answers != 1 {
@@ -104,7 +89,7 @@
 	m := stopBefore(t, 100*ms)
 	m.sendStream(1, 1)
 	req := m.requests[0]
-	m.sendToHangingServers()
+	m.writeRequests()
 	if m.advance(killAfter); req.answers != 0 {
 		t.Fatal("answered while it arrives")
 	}
--- a/internal/reducer/timers_test.go
+++ b/internal/reducer/timers_test.go
@@ -59,15 +59,9 @@
 	queued := len(m.s.timers.heap)
 	for range 50 {
 		m.sendRequest(1, 0)
-		for id, conn := range m.serverConns {
-			if !conn.open {
-				conn.open = true
-				m.step(ServerDialed{Conn: id, OK: true})
-			}
-		}
+		m.writeRequests()
 		for id, conn := range m.serverConns {
 			if conn.req != nil {
-				m.step(RequestWritten{Conn: id, OK: true})
 				m.endExchange(id, lg.OK, true)
 			}
 		}
--- a/internal/transport/detached.go
+++ b/internal/transport/detached.go
@@ -177,7 +177,7 @@
 	if errno != 0 {
 		return nil, errno
 	}
-	file := os.NewFile(fd, "leg")
+	file := os.NewFile(fd, "connection")
 	defer file.Close() // FileConn duplicates the descriptor again
 	return net.FileConn(file)
 }
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -18,28 +18,9 @@
 		p.clientConns[item.conn.id] = item.conn
 		p.step(reducer.ClientOpened{Conn: item.conn.id})
 	case bytesIn:
-		conn := item.conn
-		conn.queuedBytes.Add(-int64(len(item.data)))
-		if item.fromDetached {
-			conn.readPending = false
-		}
-		if conn.closing {
-			return
-		}
-		conn.parser.Feed(item.data)
-		conn.lastRead, conn.requestDelay = item.readAt, max(conn.requestDelay, item.delay)
-		p.readConn(conn, item.truncated)
+		p.handleBytes(item)
 	case detached:
-		conn := item.conn
-		conn.isDetached = true
-		switch {
-		case conn.closedLocally:
-			conn.close()
-		case conn.closing:
-			go conn.discardInput()
-		default:
-			p.readConn(conn, false)
-		}
+		p.handleDetached(item.conn)
 	case bodyArrived:
 		p.step(reducer.RequestBodyArrived{Conn: item.stream.source.id, ArrivedAt: p.at(item.arrivedAfter)})
 	case bodyComplete:
@@ -47,8 +28,8 @@
 		p.step(reducer.RequestBodyComplete{Conn: item.stream.source.id, ReadAt: p.at(item.readAt)})
 	case bodyFailed:
 		answer := parseFailure(item.conn.id, item.err)
-		p.step(reducer.RequestBodyFailed{Conn: item.conn.id, Payload: answer.Payload, TimedOut: errors.Is(item.err,
-			os.ErrDeadlineExceeded)})
+		p.step(reducer.RequestBodyFailed{Conn: item.conn.id, Payload: answer.Payload,
+			TimedOut: errors.Is(item.err, os.ErrDeadlineExceeded)})
 	case connUnusable:
 		p.step(reducer.ServerConnUnusable{Conn: item.conn.id})
 	case requestUnsent:
@@ -59,33 +40,9 @@
 	case connClosed:
 		p.handleConnClosed(item.conn, item.reset)
 	case written:
-		conn := item.conn
-		if item.stream != nil {
-			p.finishStream(item)
-			return
-		}
-		if !conn.isClient {
-			p.step(reducer.RequestWritten{Conn: conn.id, OK: item.err == nil})
-			return
-		}
-		conn.busy = false
-		conn.requestPending.Store(false)
-		p.observer.recordUnwritten(conn, item.err, p.now())
-		p.step(reducer.ResponseWritten{Conn: conn.id, OK: item.err == nil})
-		p.readConn(conn, false)
+		p.handleWritten(item)
 	case dialed:
-		conn := item.conn
-		if conn.closing { // closed while it was being opened
-			if item.socket != nil {
-				_ = item.socket.Close()
-			}
-			return
-		}
-		ok := item.socket != nil && conn.open(item.socket)
-		if !ok {
-			delete(p.serverConns, conn.id)
-		}
-		p.step(reducer.ServerDialed{Conn: conn.id, OK: ok, LocalFault: item.localFault})
+		p.handleDialed(item)
 	case discoveryConnected:
 		if item.watcher == p.watcher {
 			p.step(reducer.ListConnected{})
@@ -97,23 +54,7 @@
 			p.applyLateList(item)
 		}
 	case reloaded:
-		node := item.reload.Node
-		if item.reload.Err != nil {
-			log.Printf("reload: %v; the configuration is unchanged", item.reload.Err)
-			p.step(reducer.ReloadFailed{})
-			return
-		}
-		log.Printf("a new configuration: discovery at %s", node.Discovery)
-		known := p.applySettings(node.Settings)
-		p.limits = node.Limits
-		p.applyLimits()
-		maxClients, maxServers := connectionLimits(node.Limits)
-		p.listener.maxConns.Store(int64(maxClients))
-		p.step(reducer.Reloaded{Settings: &p.settings.Settings, Discovery: node.Discovery,
-			MaxClients: softClientLimit(maxClients), MaxServerConns: maxServers})
-		if known != nil {
-			p.applyKnownList(known)
-		}
+		p.handleReload(item.reload)
 	case fencingUpdated:
 		p.step(reducer.FencingUpdated{Facts: item.facts, OwnGrant: item.ownGrant})
 	case idleCheck:
@@ -132,6 +73,88 @@
 	}
 }
 
+// handleBytes parses bytes that were read on a connection.
+func (p *proxy) handleBytes(item bytesIn) {
+	conn := item.conn
+	conn.queuedBytes.Add(-int64(len(item.data)))
+	if item.fromDetached {
+		conn.readPending = false
+	}
+	if conn.closing {
+		return
+	}
+	conn.parser.Feed(item.data)
+	conn.lastRead, conn.requestDelay = item.readAt, max(conn.requestDelay, item.delay)
+	p.readConn(conn, item.truncated)
+}
+
+// handleDetached continues with a connection that the library has let go of.
+func (p *proxy) handleDetached(conn *connection) {
+	conn.isDetached = true
+	switch {
+	case conn.closedLocally:
+		conn.close()
+	case conn.closing:
+		go conn.discardInput()
+	default:
+		p.readConn(conn, false)
+	}
+}
+
+// handleWritten handles the end of a write.
+func (p *proxy) handleWritten(item written) {
+	conn := item.conn
+	switch {
+	case item.stream != nil:
+		p.finishStream(item)
+	case !conn.isClient:
+		p.step(reducer.RequestWritten{Conn: conn.id, OK: item.err == nil})
+	default:
+		conn.busy = false
+		conn.requestPending.Store(false)
+		p.observer.recordUnwritten(conn, item.err, p.now())
+		p.step(reducer.ResponseWritten{Conn: conn.id, OK: item.err == nil})
+		p.readConn(conn, false)
+	}
+}
+
+// handleDialed handles the result of a dial.
+func (p *proxy) handleDialed(item dialed) {
+	conn := item.conn
+	if conn.closing { // closed while it was being opened
+		if item.socket != nil {
+			_ = item.socket.Close()
+		}
+		return
+	}
+	ok := item.socket != nil && conn.open(item.socket)
+	if !ok {
+		delete(p.serverConns, conn.id)
+	}
+	p.step(reducer.ServerDialed{Conn: conn.id, OK: ok, LocalFault: item.localFault})
+}
+
+// handleReload applies a new configuration, or reports that it was rejected.
+func (p *proxy) handleReload(reload Reload) {
+	if reload.Err != nil {
+		log.Printf("reload: %v; the configuration is unchanged", reload.Err)
+		p.step(reducer.ReloadFailed{})
+		return
+	}
+	node := reload.Node
+	log.Printf("a new configuration: discovery at %s", node.Discovery)
+	known := p.applySettings(node.Settings)
+	p.limits = node.Limits
+	p.applyLimits()
+	maxClients, maxServers := connectionLimits(node.Limits)
+	p.listener.maxConns.Store(int64(maxClients))
+	p.step(reducer.Reloaded{Settings: &p.settings.Settings, Discovery: node.Discovery,
+		MaxClients: softClientLimit(maxClients), MaxServerConns: maxServers})
+	if known != nil {
+		p.applyKnownList(known)
+	}
+}
+
 // readConn parses what has arrived on a connection, and continues reading where that has to be
 // requested.
 func (p *proxy) readConn(conn *connection, truncated bool) {
--- a/internal/transport/proxy.go
+++ b/internal/transport/proxy.go
@@ -104,14 +104,56 @@
 
 // ServeWithOptions is Serve with options.
 func ServeWithOptions(ctx context.Context, node settings.Node, reloads <-chan Reload, options Options) error {
-	p := &proxy{settings: node.Settings, clock: newClock(), inbox: newInbox(),
+	p := newProxy(node)
+	var err error
+	if p.state, err = reducer.New(p.reducerConfig(node, options)); err != nil {
+		return err
+	}
+	if options.Peers != nil {
+		if err := p.joinPeers(*options.Peers, node); err != nil {
+			return err
+		}
+	}
+	if err := p.startAdmin(node); err != nil {
+		return err
+	}
+	if err := p.prepareListening(node); err != nil {
+		return err
+	}
+	go func() {
+		<-ctx.Done()
+		p.inbox.post(stopping{})
+	}()
+	go func() {
+		for reload := range reloads {
+			p.inbox.post(reloaded{reload})
+		}
+	}()
+	if !p.takeOver(node) && !p.applyKnownList(node.Known) {
+		// Without this first event the reducer would never ask discovery for a list.
+		p.step(reducer.ListReceived{List: lg.List{Kind: lg.CachedList}, NextFull: true})
+	}
+	log.Printf("%s serves on %s", node.Name, node.Listen)
+	err = p.run()
+	if p.peers != nil {
+		p.peers.Leave()
+	}
+	return err
+}
+
+// newProxy returns a proxy without its reducer, listener and peers.
+func newProxy(node settings.Node) *proxy {
+	p := &proxy{settings: node.Settings, limits: node.Limits, clock: newClock(), inbox: newInbox(),
 		clientConns: map[reducer.ConnID]*connection{}, serverConns: map[reducer.ConnID]*connection{},
-		timer: time.NewTimer(0), observer: newObserver(), decoder: new(serverlist.Decoder)}
+		timer: time.NewTimer(0), observer: newObserver(), decoder: new(serverlist.Decoder),
+		socketShared: node.PassedSocket != "", buffers: newBufferPool(int64(node.Limits.MemoryMB) << 20)}
 	p.servers = serverlist.New(p.settings.ZoneNames, p.settings.KindNames, p.epoch())
+	return p
+}
+
+// reducerConfig returns the configuration of the reducer.
+func (p *proxy) reducerConfig(node settings.Node, options Options) reducer.Config {
 	maxClients, maxServers := connectionLimits(node.Limits)
-	var err error
-	p.socketShared = node.PassedSocket != ""
-	p.buffers = newBufferPool(int64(node.Limits.MemoryMB) << 20)
 	cfg := reducer.Config{Settings: p.settings.Settings, Seed: node.Seed,
 		MaxClients: softClientLimit(maxClients), MaxServerConns: maxServers,
 		ServerIdleTimeout: p.settings.KeepAlive / idleTimeoutDivisor, Discovery: node.Discovery,
@@ -123,24 +165,24 @@
 	if p.socketShared {
 		cfg.OverlapUntil = p.now() + overlapDuration
 	}
-	p.state, err = reducer.New(cfg)
-	if err != nil {
-		return err
-	}
-	if options.Peers != nil {
-		if err := p.joinPeers(*options.Peers, node); err != nil {
-			return err
-		}
+	return cfg
+}
+
+// startAdmin opens the operator interface, if there is to be one.
+func (p *proxy) startAdmin(node settings.Node) error {
+	if node.Admin == "" {
+		return nil
 	}
-	if node.Admin != "" {
-		p.adminServer = new(admin.Server)
-		if p.peers != nil {
-			p.adminServer.Work = p.peers.Work
-		}
-		if err := p.adminServer.Listen(node.Admin); err != nil {
-			return err
-		}
+	p.adminServer = new(admin.Server)
+	if p.peers != nil {
+		p.adminServer.Work = p.peers.Work
 	}
+	return p.adminServer.Listen(node.Admin)
+}
+
+// prepareListening opens the clients' listening socket. Nothing is accepted before startAccepting is
+// called.
+func (p *proxy) prepareListening(node settings.Node) error {
 	socket, err := listen(node)
 	if err != nil {
 		return err
@@ -150,39 +192,21 @@
 		// The proxy can serve without it.
 		log.Printf("can't set the receive buffer of the listening socket: %v", err)
 	}
-	ln := newListener(socket, maxClients)
-	p.listener, p.limits = ln, node.Limits
+	maxClients, _ := connectionLimits(node.Limits)
+	p.listener = newListener(socket, maxClients)
 	p.applyLimits()
 	if p.socketShared {
 		time.AfterFunc(overlapDuration, func() { p.inbox.post(overlapEnded{}) })
 	}
-	eventLoop, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(p.onPrepare(ln)))
+	eventLoop, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(p.onPrepare(p.listener)))
 	if err != nil {
 		return err
 	}
 	p.startAccepting = func() {
 		p.startAccepting = nil
-		go func() { p.inbox.post(serveFailed{eventLoop.Serve(ln)}) }()
+		go func() { p.inbox.post(serveFailed{eventLoop.Serve(p.listener)}) }()
 	}
-	go func() {
-		<-ctx.Done()
-		p.inbox.post(stopping{})
-	}()
-	go func() {
-		for reload := range reloads {
-			p.inbox.post(reloaded{reload})
-		}
-	}()
-	if !p.takeOver(node) && !p.applyKnownList(node.Known) {
-		// Without this first event the reducer would never ask discovery for a list.
-		p.step(reducer.ListReceived{List: lg.List{Kind: lg.CachedList}, NextFull: true})
-	}
-	log.Printf("%s serves on %s", node.Name, node.Listen)
-	err = p.run()
-	if p.peers != nil {
-		p.peers.Leave()
-	}
-	return err
+	return nil
 }
 
 type connKey struct{}
