--- a/internal/coordination/effects.go
+++ b/internal/coordination/effects.go
@@ -30,6 +30,7 @@
 		Named      []string           // no new requests there from LeaseUntil on, and no open ones Grace later
 		LeaseUntil time.Duration      // time on this proxy's clock; 0: no lease yet, no new requests anywhere
 		Grace      time.Duration
+		Alone      bool // serves without a lease, as configured, and can't know which machines are out
 	}
 	// Reply answers a CallReceived.
 	Reply struct {
--- a/internal/coordination/restrictions.go
+++ b/internal/coordination/restrictions.go
@@ -11,9 +11,6 @@
 // resumeDelay is the time without a lease after which the proxy resumes from its durable record.
 const resumeDelay = time.Second
 
-// Forever is the expiry of a lease that never expires.
-const Forever = time.Duration(1<<63 - 1)
-
 // handleRestrictionsApplied records what the reducer enforces. Only that may be reported to the leader as
 // known: a process that is paused just before its reducer reads an update would otherwise resume with the
 // old state.
@@ -54,14 +51,14 @@
 		}
 	}
 	if f.LeaseUntil == 0 && c.cfg.AloneAfter > 0 && p.startedAt > 0 && c.now-p.startedAt >= c.cfg.AloneAfter {
-		f.LeaseUntil = Forever
-		if p.published.LeaseUntil != Forever {
+		f.Alone = true
+		if !p.published.Alone {
 			c.emit(Log{fmt.Sprintf("no lease after %v: serves alone, as configured, and can't know which machines "+
 				"are out", c.cfg.AloneAfter)})
 		}
 	}
 	if p.publishedOnce && f.Index == p.published.Index && f.LeaseUntil == p.published.LeaseUntil &&
-		f.Grace == p.published.Grace {
+		f.Grace == p.published.Grace && f.Alone == p.published.Alone {
 		return
 	}
 	p.published, p.publishedOnce = f, true
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -23,6 +23,9 @@
 	Named      []K           // no new requests there after the lease
 	LeaseUntil time.Duration // expiry of the lease on the caller's clock; 0: no lease yet
 	Grace      time.Duration // longest request deadline
+	// Alone means that the proxy may serve before its first lease, though it can't know which machines are
+	// out. It ends with that lease for good.
+	Alone bool
 }
 
 // Fence holds the restrictions and what follows from them. New returns one that blocks every machine:
@@ -47,6 +50,9 @@
 		s.blocked = nil
 	}
 	f.LeaseUntil = max(f.LeaseUntil, s.restrictions.LeaseUntil)
+	if f.Alone = f.Alone && f.LeaseUntil == 0; f.Alone != s.restrictions.Alone {
+		s.blocked = nil
+	}
 	s.restrictions = f
 }
 
@@ -55,10 +61,10 @@
 // passed since the lease expired.
 func (s *Fence[K]) Advance(now time.Duration) (changed, closeOpen bool) {
 	f := &s.restrictions
-	if f.LeaseUntil == 0 {
+	if !s.mayServe() {
 		return false, false
 	}
-	expired := now >= f.LeaseUntil
+	expired := !f.Alone && now >= f.LeaseUntil
 	if !expired {
 		s.closed = false
 	}
@@ -83,8 +89,11 @@
 // Blocks reports whether no new requests may be sent to a machine.
 func (s *Fence[K]) Blocks(id K) bool { return s.blocked == nil || s.blocked[id] }
 
-// EverLeased reports whether there has been a lease.
-func (s *Fence[K]) EverLeased() bool { return s.restrictions.LeaseUntil > 0 }
+// mayServe reports whether there has been a lease, or none is needed yet.
+func (s *Fence[K]) mayServe() bool { return s.restrictions.LeaseUntil > 0 || s.restrictions.Alone }
+
+// Alone reports whether the proxy serves without a lease, so that machines which are out may get requests.
+func (s *Fence[K]) Alone() bool { return s.restrictions.Alone }
 
 // Named lists the machines that may go out.
 func (s *Fence[K]) Named() []K { return s.restrictions.Named }
--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -35,3 +35,28 @@
 		t.Error("open requests not closed after the second lease")
 	}
 }
+
+// TestAloneEndsWithFirstLease checks that a proxy which serves before its first lease blocks, from the end
+// of that lease on, what may go out.
+func TestAloneEndsWithFirstLease(t *testing.T) {
+	s := New[string]()
+	s.Update(Restrictions[string]{Alone: true})
+	if s.Advance(10); s.Blocks("a") || !s.Alone() {
+		t.Error("does not serve alone")
+	}
+	if due := s.NextDeadline(); due != 0 {
+		t.Errorf("its end is due at %v", due)
+	}
+	s.Update(Restrictions[string]{Index: 1, Named: []string{"a"}, Marked: []Mark[string]{{"b", 1}},
+		LeaseUntil: 100, Grace: 50})
+	if s.Advance(20); s.Alone() || s.Blocks("a") || !s.Blocks("b") || s.LeaseUntil("a") != 100 {
+		t.Error("its first lease does not count")
+	}
+	if s.Advance(100); !s.Blocks("a") || s.Blocks("c") {
+		t.Error("the end of its lease does not count")
+	}
+	s.Update(Restrictions[string]{Index: 1, Alone: true})
+	if s.Advance(110); s.Alone() {
+		t.Error("alone again after a lease")
+	}
+}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -269,7 +269,8 @@
 
 // tell hands the facts to the reducer, by the machines' numbers.
 func (n *Node) tell(e coordination.Restrictions) {
-	f := fencing.Restrictions[lg.ServerID]{Index: e.Index, LeaseUntil: e.LeaseUntil, Grace: e.Grace}
+	f := fencing.Restrictions[lg.ServerID]{Index: e.Index, LeaseUntil: e.LeaseUntil, Grace: e.Grace,
+		Alone: e.Alone}
 	names := map[lg.ServerID]string{}
 	own := uint64(0)
 	for _, m := range e.Marked {
--- a/internal/reducer/maintenance.go
+++ b/internal/reducer/maintenance.go
@@ -121,7 +121,7 @@
 	if closeNamed {
 		s.closeNamedConns()
 	}
-	if due := m.fence.NextDeadline(); due > 0 && due != m.nextLeaseCheck && due < 1<<62 {
+	if due := m.fence.NextDeadline(); due > 0 && due != m.nextLeaseCheck {
 		m.nextLeaseCheck = due
 		s.timers.add(due, s.checkLease)
 	}
