--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -18,46 +19,6 @@
 	maxUploadPause    = 2 * time.Second // limit of one pause, whatever was received before
 )
 
-// streamBufferSize is the number of bytes that one body may have in transit between its two
-// connections, beyond what had arrived before streaming began.
-const streamBufferSize = 32 << 10
-
-// streamMemoryDivisor divides the memory limit: the buffers of the pool may take that fraction of
-// it.
-const streamMemoryDivisor = 8
-
-// minStreamBuffers is the number of bodies that are always copied at the same time.
-const minStreamBuffers = 4
-
-// streamBuffer holds the bytes of one body that are in transit.
-type streamBuffer [streamBufferSize]byte
-
-// bufferPool limits the bytes in transit of all bodies together. A body waits for its buffer. Buffers
-// that nobody uses are left to the garbage collector.
-type bufferPool struct {
-	inUse chan struct{} // has an element for each buffer that is in use
-	free  sync.Pool     // of *streamBuffer
-}
-
-// newBufferPool returns the pool for a memory limit in bytes.
-func newBufferPool(memory int64) *bufferPool {
-	limit := max(minStreamBuffers, memory/streamMemoryDivisor/streamBufferSize)
-	return &bufferPool{inUse: make(chan struct{}, limit),
-		free: sync.Pool{New: func() any { return new(streamBuffer) }}}
-}
-
-// get waits for a buffer.
-func (pool *bufferPool) get() *streamBuffer {
-	pool.inUse <- struct{}{}
-	return pool.free.Get().(*streamBuffer)
-}
-
-// put returns a buffer.
-func (pool *bufferPool) put(buffer *streamBuffer) {
-	pool.free.Put(buffer)
-	<-pool.inUse
-}
-
 // bodyStream is a body that is copied from one connection to another as it arrives. It can be sent
 // again for as long as nothing beyond its message's part of the body has been read.
 type bodyStream struct {
@@ -161,10 +122,8 @@
 	if err := out.send(s.message.Body, false); err != nil {
 		return nil, err
 	}
-	inTransit := s.buffers.get()
-	defer s.buffers.put(inTransit)
 	for !s.body.Done {
-		data, rest, err := s.receive(destination, inTransit[:])
+		rest, err := s.copyNext(&out, onComplete)
 		if err == errEndOfBody {
 			return nil, out.send(nil, true)
 		}
@@ -172,27 +131,35 @@
 			return nil, err
 		}
 		leftover = append(leftover, rest...)
-		if !s.isDestination(destination, true) {
-			if !s.isConsumed() {
-				s.message.Body = append(s.message.Body, data...)
-			}
-			return nil, errStopped
-		}
-		s.message.Body = nil
-		if s.body.Done {
-			if s.clientHungUp() {
-				return nil, errClientLeft
-			}
-			onComplete()
-		}
-		if len(data) == 0 && !s.body.Done {
-			continue
+	}
+	return leftover, nil
+}
+
+// copyNext copies what arrives next. It returns the bytes that followed the body.
+func (s *bodyStream) copyNext(out *bodyWriter, onComplete func()) (leftover []byte, _ error) {
+	buffer := s.buffers.get()
+	defer s.buffers.put(buffer)
+	data, rest, err := s.receive(out.destination, buffer.bytes)
+	if err != nil {
+		return nil, err
+	}
+	if !s.isDestination(out.destination, true) {
+		if !s.isConsumed() {
+			s.message.Body = append(s.message.Body, data...)
 		}
-		if err := out.send(data, s.body.Done); err != nil {
-			return nil, err
+		return nil, errStopped
+	}
+	s.message.Body = nil
+	if s.body.Done {
+		if s.clientHungUp() {
+			return nil, errClientLeft
 		}
+		onComplete()
 	}
-	return leftover, nil
+	if len(data) == 0 && !s.body.Done {
+		return nil, nil
+	}
+	return bytes.Clone(rest), out.send(data, s.body.Done)
 }
 
 // bodyWriter writes the parts of a body to one destination.
--- a/internal/transport/uploadwatch_test.go
+++ b/internal/transport/uploadwatch_test.go
@@ -115,8 +115,16 @@
 	return server
 }
 
-// TestUploadWithoutBuffer guards against the same where an upload waits for its turn to be copied, and
-// against an answer to it after the end of its time.
+// startProxyWithFewBuffers starts a proxy with the fewest large buffers that there can be.
+func startProxyWithFewBuffers(t *testing.T, servers ...*fakeServer) (*testProxy, *scriptedConn) {
+	t.Helper()
+	proxy := startProxy(t, readyList(1, servers...), func(node *settings.Node) { node.Limits.MemoryMB = 1 })
+	client := proxy.connect()
+	debug.SetMemoryLimit(math.MaxInt64) // the proxy has set its own for this whole process
+	return proxy, client
+}
+
+// TestUploadWithoutBuffer guards against the same where other uploads hold all buffers.
 func TestUploadWithoutBuffer(t *testing.T) {
 	const timeout, size, firstPart = time.Second, 1 << 20, 100 << 10
 	var received atomic.Int64
@@ -124,10 +132,8 @@
 	for range 2 * minStreamBuffers {
 		servers = append(servers, countingServer(t, &received))
 	}
-	proxy := startProxy(t, readyList(1, servers...), func(node *settings.Node) { node.Limits.MemoryMB = 1 })
-	client := proxy.connect()
-	debug.SetMemoryLimit(math.MaxInt64) // the proxy has set its own for this whole process
-	for i := range minStreamBuffers {   // each holds a buffer for as long as its client may pause
+	proxy, client := startProxyWithFewBuffers(t, servers...)
+	for i := range minStreamBuffers { // each holds a buffer for as long as its client may pause
 		slow := proxy.connect()
 		slow.send(uploadRequest(fmt.Sprint("slow-", i), timeout, size) + strings.Repeat("s", firstPart))
 	}
@@ -142,6 +148,29 @@
 	}
 }
 
+// TestSlowReadersDontHoldBackOthers guards against a large answer whose rest is held back, since readers that
+// take nothing hold all buffers: the pages allow 2 s.
+func TestSlowReadersDontHoldBackOthers(t *testing.T) {
+	const size, limit = 16 << 20, 2 * time.Second
+	var servers []*fakeServer
+	for range 2 * minStreamBuffers {
+		servers = append(servers, startEchoServer(t, size))
+	}
+	proxy, client := startProxyWithFewBuffers(t, servers...)
+	for i := range minStreamBuffers {
+		slow := proxy.connect()
+		slow.send(editRequest(fmt.Sprint("slow-", i)))
+		slow.reader.Peek(1)
+	}
+	time.Sleep(500 * time.Millisecond) // the kernel's buffers fill
+	client.send(editRequest("fast"))
+	sent := time.Now()
+	status, body, err := client.answer()
+	if took := time.Since(sent); status != 200 || len(body) != size || err != nil || took > limit {
+		t.Errorf("status %d, %d bytes after %v, %v", status, len(body), took, err)
+	}
+}
+
 // TestUploadWatchStates checks what is found of an upload without anything being read.
 func TestUploadWatchStates(t *testing.T) {
 	const fixed, chunked = "Content-Length: 100000\r\n", "Transfer-Encoding: chunked\r\n"
