--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -13,21 +13,27 @@
 	"time"
 )
 
-// startEchoServer starts a server that answers each request with the body of the given size.
-func startEchoServer(t testing.TB, answerSize int) *fakeServer {
+// startServer starts a server that answers requests with a handler.
+func startServer(t testing.TB, handler http.HandlerFunc) *fakeServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
+	go http.Serve(ln, handler)
+	return &fakeServer{t: t, addr: ln.Addr().String()}
+}
+
+// startEchoServer starts a server that answers each request with a body of the given size.
+func startEchoServer(t testing.TB, answerSize int) *fakeServer {
+	t.Helper()
 	answer := strings.Repeat("a", answerSize)
-	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 		_, _ = io.WriteString(w, answer)
-	}))
-	return &fakeServer{t: t, addr: ln.Addr().String()}
+	})
 }
 
 // uploadRequest returns the head of a request of a class that may be repeated, with a body to follow.
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -44,8 +44,8 @@
 			p.startUpload(conn)
 			return
 		}
-		if conn.parser.HeadComplete() && conn.headTime.IsZero() {
-			conn.headTime = conn.lastRead
+		if lastRead := conn.arrivals.last(); conn.parser.HeadComplete() && conn.headTime.IsZero() {
+			conn.headTime = lastRead
 		}
 		event := reducer.ClientReading{Conn: conn.id}
 		if !conn.headTime.IsZero() {
@@ -63,13 +63,14 @@
 func (p *proxy) handleRequest(conn *connection, message *http1.Message) {
 	conn.http10, conn.headTime = message.HTTP10, time.Time{}
 	message.Close = message.Close || message.HTTP10
-	p.step(p.parsedRequest(conn, message))
+	p.step(p.parsedRequest(conn, message, conn.arrivals.take(conn.parser.Buffered())))
 }
 
-// parsedRequest returns the event of a request. A request that was on its way when its class was
-// dropped must not be rejected, so classes count as of the time it was read.
-func (p *proxy) parsedRequest(conn *connection, message *http1.Message) reducer.Event {
-	readAt := p.at(conn.lastRead)
+// parsedRequest returns the event of a request whose last byte so far was read at the given time. A
+// request that was on its way when its class was dropped must not be rejected, so classes count as of
+// that time.
+func (p *proxy) parsedRequest(conn *connection, message *http1.Message, lastRead time.Time) reducer.Event {
+	readAt := p.at(lastRead)
 	event := requestEvent(&p.settings, readAt < p.staleClassesUntil, conn.id, message, readAt-conn.requestDelay)
 	conn.requestDelay = 0
 	if request, ok := event.(reducer.RequestReceived); ok {
@@ -91,18 +92,19 @@
 	closeAfter := message.Close || message.HTTP10
 	message.Close = true // no other request can follow one that is answered before its end
 	conn.http10, conn.headTime = message.HTTP10, time.Time{}
-	event := p.parsedRequest(conn, message)
+	lastRead := conn.arrivals.take(0)
+	event := p.parsedRequest(conn, message, lastRead)
 	if request, ok := event.(reducer.RequestReceived); ok {
 		stream := &bodyStream{message: message, source: conn, length: body.Length(),
 			buffers: p.buffers, peeks: &p.peeks, isUpload: true, body: body}
 		conn.streaming = true
-		watchUpload(stream, conn.lastRead)
+		watchUpload(stream, lastRead)
 		remaining := stream.length - body.Received()
 		if stream.length < 0 {
 			remaining = http1.MaxStreamedBody
 		}
 		request.Stream, request.Timeout, request.Last, request.Payload =
-			true, request.Deadline-p.at(conn.lastRead), closeAfter, stream
+			true, request.Deadline-p.at(lastRead), closeAfter, stream
 		request.Deadline += uploadPauseBudget + time.Duration(remaining)*time.Second/minUploadRate
 		event = request
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -27,8 +27,8 @@
 
 	// Owned by the reducer's goroutine.
 	parser                  http1.Parser
-	lastRead                time.Time     // when the last bytes were read
-	requestDelay            time.Duration // client: how long before lastRead its request may have arrived
+	arrivals                arrivals      // client: when its bytes were read
+	requestDelay            time.Duration // client: how long before they were read they may have arrived
 	busy                    bool          // client: a request is pending; server: a response is pending
 	closing                 bool          // no more input is accepted
 	responseStarted         bool          // server: a response of unknown length has started and was reported
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -84,7 +84,10 @@
 		return
 	}
 	conn.parser.Feed(item.data)
-	conn.lastRead, conn.requestDelay = item.readAt, max(conn.requestDelay, item.delay)
+	if conn.isClient {
+		conn.arrivals.add(len(item.data), item.readAt)
+		conn.requestDelay = max(conn.requestDelay, item.delay)
+	}
 	p.readConn(conn, item.truncated)
 }
 
--- a/internal/transport/streaming.go
+++ b/internal/transport/streaming.go
@@ -29,6 +29,7 @@
 		source.streaming = false
 		if len(leftover) > 0 {
 			source.parser.Feed(leftover)
+			source.arrivals.add(len(leftover), time.Now())
 		}
 		p.readConn(source, false)
 	}
