--- a/internal/reducer/clients.go
+++ b/internal/reducer/clients.go
@@ -122,10 +122,11 @@
 	}
 	client.overLimit = false
 	s.lastRequestID++
-	req := &request{id: s.lastRequestID, name: ev.Name, class: ev.Class, client: client, receivedAt: s.now,
+	req := &request{id: s.lastRequestID, name: ev.Name, client: client, receivedAt: s.now,
 		deadline: ev.Deadline - answerMargin, payload: ev.Payload,
 		counts: s.countReceived(s.counters.classes[ev.Class])}
-	req.unsafe = s.cfg.Settings.Classes[ev.Class].Effect == lg.Unsafe
+	req.class, req.classIndex = &s.cfg.Settings.Classes[ev.Class], ev.Class
+	req.unsafe = req.class.Effect == lg.Unsafe
 	if req.stream, req.timeout = ev.Stream, ev.Timeout; !req.stream {
 		req.deadline = s.limitedByStop(req.deadline)
 	}
@@ -143,7 +144,8 @@
 		s.scheduleExpiry(req)
 	}
 	if s.cfg.Trace != nil {
-		s.trace("A %d class %d by %d name %q", req.id, req.class, (req.deadline - s.now).Milliseconds(), req.name)
+		s.trace("A %d class %d by %d name %q", req.id, req.classIndex, (req.deadline - s.now).Milliseconds(),
+			req.name)
 	}
 	s.notify(lg.Request{ID: req.id, Class: ev.Class, Tenant: ev.Tenant, Key: ev.Key, HasKey: ev.HasKey,
 		Budget: max(0, req.deadline-s.now), Cost: ev.Cost, Repeat: ev.Repeat, Stream: ev.Stream})
--- a/internal/reducer/model_test.go
+++ b/internal/reducer/model_test.go
@@ -53,6 +53,7 @@
 type model struct {
 	t                   *testing.T
 	s                   *State
+	classes             []lg.Class // as the requests of the model know them
 	now                 time.Duration
 	armed               time.Duration
 	clients             map[ConnID]*modelRequest // nil: idle
@@ -78,7 +79,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &model{t: t, s: s, now: time.Hour, clients: map[ConnID]*modelRequest{}, writing: map[ConnID]bool{},
+	m := &model{t: t, s: s, classes: s.cfg.Settings.Classes, now: time.Hour,
+		clients: map[ConnID]*modelRequest{}, writing: map[ConnID]bool{},
 		flooding: map[ConnID]bool{}, streaming: map[*modelRequest]bool{}, writeClosed: map[ConnID]bool{},
 		serverConns: map[ConnID]*modelServerConn{}, serverStates: map[lg.ServerID]lg.State{}}
 	m.updateList(lg.CachedList, lg.Ready, 1, 2, 3)
@@ -177,7 +179,7 @@
 			m.t.Fatal("forwarded to a draining server")
 		case m.now >= req.deadline-answerMargin:
 			m.t.Fatal("forwarded after its deadline")
-		case req.mayHaveRun && m.now-req.ranAt >= m.s.cfg.Settings.Classes[req.class].Memory:
+		case req.mayHaveRun && m.now-req.ranAt >= m.classes[req.class].Memory:
 			m.t.Fatal("repeated after the window in which repeats are dropped")
 		}
 		if !req.mayHaveRun {
--- a/internal/reducer/modelevents_test.go
+++ b/internal/reducer/modelevents_test.go
@@ -69,7 +69,7 @@
 // startTimeout has the client of a streamed request wait from now on, unless it does already.
 func (m *model) startTimeout(req *modelRequest) {
 	if !req.arrived {
-		req.arrived, req.deadline = true, m.now+m.s.cfg.Settings.Classes[req.class].Deadline
+		req.arrived, req.deadline = true, m.now+m.classes[req.class].Deadline
 	}
 }
 
--- a/internal/reducer/retune_test.go
+++ b/internal/reducer/retune_test.go
@@ -64,3 +64,29 @@
 		t.Errorf("counted %v, want %v", names, want)
 	}
 }
+
+// TestOpenRequestKeepsClass guards against a check before a repeat that asks another class than the one of
+// the request: new settings number the classes anew, and an allowed repeat was withheld as a broken rule.
+func TestOpenRequestKeepsClass(t *testing.T) {
+	m := newModel(t)
+	m.openClient(1)
+	m.sendRequest(1, 1)
+	m.writeRequests()
+	req := m.requests[0]
+	old := m.s.cfg.Settings
+	settings := old
+	settings.Classes = []lg.Class{old.Classes[1], old.Classes[0]}
+	settings = settings.RetainingClasses(old)
+	m.step(Reloaded{Settings: &settings, MaxClients: 12, MaxServerConns: 8})
+	for id, conn := range m.serverConns {
+		if conn.req == req {
+			m.endExchange(id, lg.ServerError, true)
+			break
+		}
+	}
+	m.advance(ms)
+	m.writeRequests()
+	if violations := m.s.Violations(); violations.Total() > 0 || !req.inFlight {
+		t.Errorf("violations %v, sent again %t", violations, req.inFlight)
+	}
+}
--- a/internal/reducer/sendchecks.go
+++ b/internal/reducer/sendchecks.go
@@ -27,7 +27,7 @@
 func (s *State) sendCheckInput(attempt *attempt) sendguard.Attempt {
 	req := attempt.req
 	input := sendguard.Attempt{Now: s.now, State: attempt.server.State(), Location: attempt.location,
-		Class: s.cfg.Settings.Classes[req.class], Ended: req.done || req.client == nil,
+		Class: *req.class, Ended: req.done || req.client == nil,
 		AtOnce:      req.attempt != attempt,
 		Unconfirmed: s.listPushed() && !s.list.confirmed && s.now < s.cfg.ConfirmTimeout, Expired: s.listExpired()}
 	if req.mayHaveRun {
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -26,7 +26,7 @@
 		s.maintenance.hotKeys.Record(s.now, req.key, action.Server)
 	}
 	if s.cfg.Trace != nil {
-		s.trace("S %d.%d %x class %d heard %d", req.id, attempt.number, uint64(action.Server), req.class,
+		s.trace("S %d.%d %x class %d heard %d", req.id, attempt.number, uint64(action.Server), req.classIndex,
 			s.list.sinceAnswer(s.now).Milliseconds())
 	}
 	if attempt.deadline < req.deadline {
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -115,7 +115,8 @@
 type request struct {
 	id           lg.RequestID
 	name         string
-	class        int
+	class        *lg.Class // as it was when the request came: new settings number the classes anew
+	classIndex   int       // at that time, for the trace
 	unsafe       bool
 	client       *clientConn // nil once it has left
 	counts       *RequestCounts
