Say in the log that an answer was given up because its client took nothing

Cause: since a stalled connection of netpoll is closed while its write waits, that write ended with the library's error of a closed connection, which counts as a client that has left: such answers were missing from answers_unwritten and the log.

Change: such a write ends with errStalled, on attached and detached connections alike. TestStalledReaderIsGivenUp asks for that error (it asked for any). The ticker of the look no longer depends on the deadline, which could have been over.

--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -71,40 +71,40 @@
 // written or a timeout has passed, and can't go on after that: so it is given the deadline, and a
 // connection whose other side takes nothing is closed meanwhile.
 func (c *connection) flush(wait *writeWait) error {
-	if wait.limit.stall > 0 {
-		watched := *wait // on the heap, but only if a write has to wait
-		done, stopped := make(chan struct{}), make(chan struct{})
-		go func() {
-			c.closeWhenStalled(&watched, done)
-			close(stopped)
-		}()
-		defer func() {
-			close(done)
-			<-stopped
-		}()
-	}
-	return flush(c.socket, wait.untilDeadline(time.Now()))
+	timeout := wait.untilDeadline(time.Now())
+	if wait.limit.stall <= 0 {
+		return flush(c.socket, timeout)
+	}
+	watched := *wait // on the heap, but only if a write has to wait
+	done, stalled := make(chan struct{}), make(chan bool)
+	go func() { stalled <- c.closeWhenStalled(&watched, done) }()
+	err := flush(c.socket, timeout)
+	close(done)
+	if <-stalled {
+		return errStalled
+	}
+	return err
 }
 
-// closeWhenStalled closes a connection once its other side has taken nothing for too long, unless done
-// is closed before.
-func (c *connection) closeWhenStalled(wait *writeWait, done <-chan struct{}) {
-	ticker := time.NewTicker(wait.untilLook(time.Now()))
+// closeWhenStalled closes a connection once its other side has taken nothing for too long, and reports
+// whether it has. It returns when the connection is closed or done is.
+func (c *connection) closeWhenStalled(wait *writeWait, done <-chan struct{}) bool {
+	ticker := time.NewTicker(wait.limit.stall / stallChecks)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-done:
-			return
+			return false
 		case <-ticker.C:
 		}
 		if !c.lookAtQueue(wait) {
-			return
+			return false
 		}
-		if wait.expired(time.Now()) {
+		if wait.stalled(time.Now()) {
 			// The rest must not look like the whole of an answer that the connection's end delimits.
 			c.resetOnClose()
 			c.closeSocket()
-			return
+			return true
 		}
 	}
 }
@@ -222,6 +222,9 @@
 		} else if err := lookAtStdQueue(conn, wait); err != nil {
 			return err
 		}
+		if wait.stalled(time.Now()) {
+			return errStalled
+		}
 		if wait.expired(time.Now()) {
 			return err
 		}
--- a/internal/transport/write_test.go
+++ b/internal/transport/write_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -92,7 +93,7 @@
 			start := time.Now()
 			select {
 			case err := <-failed:
-				if waited := time.Since(start); err == nil || waited < stall/2 {
+				if waited := time.Since(start); !errors.Is(err, errStalled) || waited < stall/2 {
 					t.Errorf("%v after %v", err, waited)
 				}
 			case <-time.After(testTimeout):
--- a/internal/transport/writewait.go
+++ b/internal/transport/writewait.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -14,6 +15,9 @@
 // may take none.
 const stallChecks = 10
 
+// errStalled reports that the other side of a connection has taken nothing for too long.
+var errStalled = errors.New("the other side takes nothing")
+
 // noTimeout stands for no limit where a timeout has to be given.
 const noTimeout = 24 * time.Hour
 
@@ -62,10 +66,14 @@
 	w.queued = queued
 }
 
+// stalled reports whether the other side has taken nothing for too long.
+func (w *writeWait) stalled(now time.Time) bool {
+	return w.limit.stall > 0 && now.Sub(w.movedAt) >= w.limit.stall
+}
+
 // expired reports whether the write must not wait any longer.
 func (w *writeWait) expired(now time.Time) bool {
-	return !w.limit.deadline.IsZero() && !now.Before(w.limit.deadline) ||
-		w.limit.stall > 0 && now.Sub(w.movedAt) >= w.limit.stall
+	return !w.limit.deadline.IsZero() && !now.Before(w.limit.deadline) || w.stalled(now)
 }
 
 // untilDeadline returns how long the deadline is away.
