Report the end of an upload that a stopped attempt has read, and no end twice

An attempt that is stopped in the moment in which it reads an upload's last byte reports nothing; if the upload could still be sent again, no deadline ran until the next attempt began. And a report of the look at unread bytes, held up until its connection carried another upload, would have counted for that one.

Change: the look reports an end that was read, too (the reducer ignores it where it knows), and reports of a complete upload are dropped. Neither was met by callers.

Tests, failing with the change taken out: TestUploadReadByStoppedAttempt, TestLateReportOfUpload.

--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -22,14 +22,17 @@
 	case detached:
 		p.handleDetached(item.conn)
 	case bodyArrived:
-		p.step(reducer.RequestBodyArrived{Conn: item.stream.source.id, ArrivedAt: p.at(item.arrivedAfter)})
+		if !item.stream.complete { // else its connection may carry another request by now
+			p.step(reducer.RequestBodyArrived{Conn: item.stream.source.id, ArrivedAt: p.at(item.arrivedAfter)})
+		}
 	case bodyComplete:
 		item.stream.complete = true
 		p.step(reducer.RequestBodyComplete{Conn: item.stream.source.id, ReadAt: p.at(item.readAt)})
 	case bodyFailed:
-		answer := parseFailure(item.conn.id, item.err)
-		p.step(reducer.RequestBodyFailed{Conn: item.conn.id, Payload: answer.Payload,
-			TimedOut: errors.Is(item.err, os.ErrDeadlineExceeded)})
+		if id := item.stream.source.id; !item.stream.complete {
+			p.step(reducer.RequestBodyFailed{Conn: id, Payload: parseFailure(id, item.err).Payload,
+				TimedOut: errors.Is(item.err, os.ErrDeadlineExceeded)})
+		}
 	case connUnusable:
 		p.step(reducer.ServerConnUnusable{Conn: item.conn.id})
 	case requestUnsent:
--- a/internal/transport/inbox.go
+++ b/internal/transport/inbox.go
@@ -53,7 +53,7 @@
 		fromDetached bool          // read by readNext
 	}
 	detached    struct{ conn *connection }
-	bodyArrived struct { // the last byte of a client's body has arrived and is unread
+	bodyArrived struct { // the last byte of a client's body has arrived, though nobody may have reported it
 		stream       *bodyStream
 		arrivedAfter time.Time // it was not here before
 	}
@@ -62,8 +62,8 @@
 		readAt time.Time
 	}
 	bodyFailed struct { // a client's body was malformed or too slow
-		conn *connection
-		err  error
+		stream *bodyStream
+		err    error
 	}
 	connUnusable  struct{ conn *connection } // nothing was written: the connection can't carry a request
 	requestUnsent struct{ conn *connection } // nothing was written, and the connection is still usable
--- a/internal/transport/streaming.go
+++ b/internal/transport/streaming.go
@@ -52,7 +52,7 @@
 		switch {
 		case err == nil, errors.Is(err, errStopped), errors.Is(err, errReceiver), !stream.isUpload:
 		case errors.Is(err, os.ErrDeadlineExceeded), err == http1.ErrMalformed, err == http1.ErrBodySize:
-			p.inbox.post(bodyFailed{stream.source, err})
+			p.inbox.post(bodyFailed{stream, err})
 		default:
 			p.inbox.post(connClosed{stream.source, true})
 		}
--- a/internal/transport/uploadwatch.go
+++ b/internal/transport/uploadwatch.go
@@ -67,16 +67,16 @@
 
 // look notifies the reducer of what it finds, or schedules the next look.
 func (w *uploadWatch) look() {
-	now, source := time.Now(), w.stream.source
+	now, inbox := time.Now(), w.stream.source.inbox
 	state, err := w.state(now)
 	switch state {
 	case uploadArriving:
 		w.lookedAt = now
 		w.schedule()
-	case uploadArrived:
-		source.inbox.post(bodyArrived{stream: w.stream, arrivedAfter: w.lookedAt})
+	case uploadArrived, uploadRead: // an attempt that was stopped may have read the end without a report
+		inbox.post(bodyArrived{stream: w.stream, arrivedAfter: w.lookedAt})
 	case uploadFailed:
-		source.inbox.post(bodyFailed{source, err})
+		inbox.post(bodyFailed{w.stream, err})
 	}
 }
 
--- a/internal/transport/uploadwatch_test.go
+++ b/internal/transport/uploadwatch_test.go
@@ -236,3 +236,26 @@
 		})
 	}
 }
+
+// TestUploadReadByStoppedAttempt guards against an upload without a deadline: the attempt that read its
+// last byte was stopped before it reported that, and the next one has not begun.
+func TestUploadReadByStoppedAttempt(t *testing.T) {
+	source := &connection{inbox: newInbox()}
+	watch := &uploadWatch{stream: &bodyStream{source: source, body: http1.Body{Done: true}}}
+	watch.look()
+	items := source.inbox.takeAll(nil)
+	if len(items) != 1 {
+		t.Fatalf("%d items", len(items))
+	}
+	if arrived, ok := items[0].(bodyArrived); !ok || arrived.stream != watch.stream {
+		t.Errorf("posted %+v", items[0])
+	}
+}
+
+// TestLateReportOfUpload guards against a report of an upload that is taken for one of the next request on
+// its connection. The proxy here has no reducer: an event would panic.
+func TestLateReportOfUpload(t *testing.T) {
+	stream := &bodyStream{source: &connection{}, complete: true}
+	new(proxy).handleItem(bodyArrived{stream: stream, arrivedAfter: time.Now()})
+	new(proxy).handleItem(bodyFailed{stream, os.ErrDeadlineExceeded})
+}
