Give way after each piece of work, so that one connection can't keep the core

Cause: a process of one core. A goroutine that always has more to do for its connection, and what it wakes next to it, runs for 10 ms before Go's scheduler turns to the poller and to the others, at each of the some ten steps of a request.

Class: work for one connection without a bounded turn.

--- a/internal/transport/detached.go
+++ b/internal/transport/detached.go
@@ -275,18 +275,3 @@
 		_ = c.stdConn.SetReadDeadline(pastDeadline())
 	}
 }
-
-// discardInput reads and drops what still arrives on a detached connection after closeWrite, until
-// it is closed.
-func (c *connection) discardInput() {
-	_ = c.stdConn.SetReadDeadline(time.Time{})
-	buffer := make([]byte, readSize)
-	for {
-		if _, err := c.stdConn.Read(buffer); errors.Is(err, os.ErrDeadlineExceeded) {
-			_ = c.stdConn.SetReadDeadline(time.Time{}) // it was set for a stream that was stopped
-		} else if err != nil {
-			c.inbox.post(connClosed{c, true})
-			return
-		}
-	}
-}
--- a/internal/transport/proxy.go
+++ b/internal/transport/proxy.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -253,6 +254,7 @@
 			p.recordItem(item, start)
 		}
 		clear(items)
+		runtime.Gosched() // see bulk.go
 	}
 	return nil
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 
@@ -131,6 +132,7 @@
 			return nil, err
 		}
 		leftover = append(leftover, rest...)
+		runtime.Gosched() // see bulk.go
 	}
 	return leftover, nil
 }
