Bound what is read of a client beyond its requests: empty lines, input after the end

Callers saw: with three clients at full speed a process used its whole core and up to 81 MB (192 MB allowed, 47 of 64) for bytes that belong to no request.

Cause: empty lines before a request had no bound, and after an answer that ends a connection the library read and dropped whatever came for a second, in buffers that grow with what it finds (10.9 GB in 3 s).

Change: empty lines before one request may take as much as a head (16 KiB), then 400. A client that sends on after its last answer is detached from the library, and at most the rest of the largest request (32 MiB) is dropped; what exceeds it stays in the system's buffer.

TestEmptyLinesAreBounded and TestInputAfterLastAnswerIsBounded failed without the change.

--- a/cmd/lilacglade/isolation_test.go
+++ b/cmd/lilacglade/isolation_test.go
@@ -165,3 +165,21 @@
 	}
 	return (high - file) >> 10
 }
+
+// TestInputAfterLastAnswerIsBounded guards against a process that reads on for as long as a client sends
+// after an answer that ends its connection: at most the rest of the largest request is read.
+func TestInputAfterLastAnswerIsBounded(t *testing.T) {
+	const largestRequest, socketBuffers = 32 << 20, 8 << 20
+	n := startSmallProxy(t, echo)
+	conn, r := n.send("nonsense\r\n\r\n")
+	if res, _ := n.readResponse(r); res.StatusCode != 400 {
+		t.Fatalf("got %d", res.StatusCode)
+	}
+	sent, piece := 0, make([]byte, 64<<10)
+	for written, err := 0, error(nil); err == nil; sent += written {
+		written, err = conn.Write(piece)
+	}
+	if sent > largestRequest+socketBuffers {
+		t.Errorf("%d MB were read after the last answer", sent>>20)
+	}
+}
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -74,6 +74,7 @@
 
 	buf                []byte
 	scanned            int // offset in buf before which no head ends
+	emptyLines         int // bytes of empty lines skipped before the current message
 	message            *Message
 	body               Body
 	undecoded, bodyEnd int  // offsets in buf: next byte of the body to decode; end of the decoded body
@@ -210,6 +211,9 @@
 func (p *Parser) readHead() error {
 	for !p.Responses && p.scanned == 0 && len(p.buf) > 1 && p.buf[0] == '\r' && p.buf[1] == '\n' {
 		p.buf = p.buf[2:] // an empty line before a request is skipped, as RFC 9112 advises
+		if p.emptyLines += 2; p.emptyLines > MaxHead {
+			return ErrMalformed
+		}
 	}
 	end := bytes.Index(p.buf[p.scanned:], []byte("\r\n\r\n"))
 	if end < 0 {
--- a/internal/http1/parser_test.go
+++ b/internal/http1/parser_test.go
@@ -212,3 +212,25 @@
 		}
 	})
 }
+
+// TestEmptyLinesAreBounded guards against a client that sends empty lines without end: some before a request
+// are skipped, in one read or many, and more than a head may take are an error.
+func TestEmptyLinesAreBounded(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, tc := range []struct {
+		lines, perRead int
+		valid          bool
+	}{{1, 1, true}, {MaxHead / 2, 100, true}, {MaxHead/2 + 1, 100, false}, {MaxHead, MaxHead, false}} {
+		var p Parser
+		for left := tc.lines; left > 0; left -= tc.perRead {
+			p.Feed([]byte(strings.Repeat("\r\n", min(left, tc.perRead))))
+			p.Next()
+		}
+		for range 2 { // the second request has no empty lines before it
+			p.Feed([]byte(request))
+			if message, err := p.Next(); (message != nil) != tc.valid || (err == nil) != tc.valid {
+				t.Errorf("%d empty lines: %v, %v", tc.lines, message, err)
+			}
+		}
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -49,6 +49,7 @@
 	bufferedBytes  int         // bytes in the library's buffer; owned by the goroutine that writes
 	onClosed       func()      // called once its descriptor is free again
 	closeOnce      sync.Once
+	discardOnce    sync.Once
 
 	mu              sync.Mutex
 	buffersFreed    bool // the library's buffers must not be touched any more
@@ -128,7 +129,12 @@
 		c.inbox.post(bytesIn{conn: c, data: data, truncated: truncated, readAt: readAt,
 			delay: c.acceptDelay(readAt)})
 	}
-	if overflow && !truncated && !c.discarding.Load() {
+	switch {
+	case c.discarding.Load(): // the library would go on reading as much as the client sends
+		if c.isClient {
+			c.requestDetach(true)
+		}
+	case overflow && !truncated:
 		c.requestDetach(true)
 	}
 	return nil
@@ -234,7 +240,7 @@
 		if tcpConn, ok := c.stdConn.(*net.TCPConn); ok {
 			_ = tcpConn.CloseWrite()
 		}
-		go c.discardInput()
+		c.startDiscarding()
 		return
 	}
 	if descriptor, ok := c.socket.(netpoll.Conn); ok && !c.buffersFreed {
--- a/internal/transport/detached.go
+++ b/internal/transport/detached.go
@@ -140,7 +140,7 @@
 		return
 	}
 	reader := socket.Reader()
-	if n := reader.Len(); n > 0 {
+	if n := reader.Len(); n > 0 && !c.discarding.Load() {
 		if data, err := reader.Next(n); err == nil {
 			c.queuedBytes.Add(int64(n))
 			c.inbox.post(bytesIn{conn: c, data: append(make([]byte, 0, n), data...), readAt: time.Now()})
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -100,8 +100,8 @@
 	switch {
 	case conn.closedLocally:
 		conn.close()
-	case conn.closing:
-		go conn.discardInput()
+	case conn.discarding.Load():
+		conn.startDiscarding()
 	default:
 		p.readConn(conn, false)
 	}
