Take in a full list that names no server: its servers are gone

Cause: a full list without instances was refused as malformed ('a discovery that has lost its data'), so all its servers stayed in use.

Change: such a list is applied, and the next call watches for changes since its version (a full list each 100 ms would overload discovery). Only a document without the field 'instances' is malformed. After a stored list without servers no watch follows, as before.

Tests: TestListWithoutServersEndsSending on a real process failed before (a request 1.9 s after the list was written, when the test ended; allowed 0.3 s) and passes; TestListWithoutServers. The row 'without instances' of TestInvalidDocumentKeepsTheList asked for the fault; it asks for the document without the field now. TestVersionZero asked for no watch after any list without servers: now after a stored one; after discovery's own the watch is asked for.

--- a/internal/serverlist/decode.go
+++ b/internal/serverlist/decode.go
@@ -94,6 +94,9 @@
 	if doc.full = full.Type == gjson.True; full.Exists() && !full.IsBool() {
 		return Document{}, fmt.Errorf("reset: %s is neither true nor false", full.Raw)
 	}
+	if doc.full && !instances.Exists() {
+		return Document{}, errors.New("a full list without instances")
+	}
 	if instances.Type != gjson.Null && !instances.IsArray() {
 		return Document{}, errors.New("instances: not an array")
 	}
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -111,12 +110,8 @@
 
 // validate checks a document against the current list.
 func (s *Store) validate(doc Document) error {
-	switch {
-	case !doc.full && s.incremental && doc.version < s.version:
+	if !doc.full && s.incremental && doc.version < s.version {
 		return fmt.Errorf("changes up to version %d, but version %d is known", doc.version, s.version)
-	case doc.full && len(doc.instances) == 0 && len(s.records) > 0:
-		// A discovery that has lost its data would otherwise end all service.
-		return errors.New("a full list without instances")
 	}
 	return nil
 }
@@ -136,7 +131,10 @@
 		s.removeUnnamed(&list, doc)
 	}
 	slices.SortFunc(s.lastChanges, func(a, b Change) int { return cmp.Compare(a.Name, b.Name) })
-	s.version, s.incremental = doc.version, len(s.records) > 0
+	// A list without servers from discovery has a version that can be watched, too; one that an earlier process
+	// has stored may stand for no list at all.
+	watchable := !cached && (doc.full || s.incremental)
+	s.version, s.incremental = doc.version, len(s.records) > 0 || watchable
 	s.startTimes.prune(s.records)
 	if doc.full && !s.fullReturned {
 		s.fullReturned = true
