Don't extend the list's lease by answers that can't be used

Each answer that could not be used counted as 'service unreachable' and moved the lease's end to 6 s later, so with one such answer each 2 s it never ended. Class: a failure that shows the service to be in reach is treated as one that shows it to be out of reach.

Change: a document that is malformed or doesn't fit the list known ends its call without extending the lease; only the answer to a watch that continues shows that nothing had changed before.

Result: the two new rows of TestLease (15 and 23 s) can't hold without the method: there the lease ended 6 s after the last such answer (19 and 25 s).

--- a/internal/listcalls/lease.go
+++ b/internal/listcalls/lease.go
@@ -52,10 +52,25 @@
 // interval only.
 func (l *Lease) answered(now time.Duration) {
 	l.watch, l.call, l.silent = 0, 0, 0
-	l.base = now + NotifiedAfter - maxAnswerAge
+	l.base = l.afterAnswer(now)
+}
+
+// afterAnswer is the expiry by an answer that was received now.
+func (l *Lease) afterAnswer(now time.Duration) time.Duration {
 	if l.pollInterval > 0 {
-		l.base = min(l.base, now+l.pollInterval)
+		return now + min(NotifiedAfter-maxAnswerAge, l.pollInterval)
+	}
+	return now + NotifiedAfter - maxAnswerAge
+}
+
+// unusable records that the pending call was answered with a document that can't be used. The service was
+// reached, so that does not extend the lease. Only the answer to a watch that continues shows that nothing
+// had changed until shortly before.
+func (l *Lease) unusable(now time.Duration) {
+	if l.watch > 0 {
+		l.base = max(l.base, l.afterAnswer(now))
 	}
+	l.watch, l.call = 0, 0
 }
 
 // failed records that the pending call has failed: the service was unreachable.
--- a/internal/listcalls/lease_test.go
+++ b/internal/listcalls/lease_test.go
@@ -37,6 +37,18 @@
 			answer(l)
 			l.failed(16 * second)
 		}, want: 22 * second},
+		"answers that can't be used": {steps: func(l *Lease) {
+			answer(l)
+			l.unusable(11 * second)
+			l.called(12*second, 0)
+			l.unusable(13 * second)
+		}, want: 15 * second},
+		"a watch whose answer can't be used": {steps: func(l *Lease) {
+			answer(l)
+			l.watchContinued(10*second, 10*second)
+			l.unusable(18 * second)
+			l.unusable(19 * second)
+		}, want: 23 * second},
 		"a watch that broke": {steps: func(l *Lease) {
 			answer(l)
 			l.watchContinued(10*second, 10*second)
--- a/internal/listcalls/listcalls.go
+++ b/internal/listcalls/listcalls.go
@@ -215,6 +215,18 @@
 // proxies that broke together are repeated staggered by the proxies' indices.
 func (s *Schedule) Failed(now time.Duration) time.Duration {
 	s.lease.failed(now)
+	return s.retryAt(now)
+}
+
+// Unusable records that the pending call was answered with a document that can't be used, and returns when
+// to make the next one.
+func (s *Schedule) Unusable(now time.Duration) time.Duration {
+	s.lease.unusable(now)
+	return s.retryAt(now)
+}
+
+// retryAt returns when to make the call after one that has just failed.
+func (s *Schedule) retryAt(now time.Duration) time.Duration {
 	s.pending, s.timeouts = false, 0
 	s.failures++
 	s.lastFailure, s.overloaded, s.staggered = now, true, false
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -171,7 +171,9 @@
 	Late     bool // the answer to a call that was given up; the pending call is still unanswered
 	NextFull bool // the next call asks for the full list and never waits, as the first one does
 	// Complete means that the document named every server, though List holds only what changed.
-	Complete       bool
+	Complete bool
+	// Unusable means that a ListFailed call was answered, with a document that can't be used.
+	Unusable       bool
 	ProcessingTime time.Duration // spent on reading and applying the document
 }
 
--- a/internal/reducer/list.go
+++ b/internal/reducer/list.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"time"
+
 	lg "lilacglade"
 	"lilacglade/internal/listcalls"
 )
@@ -106,7 +108,7 @@
 	case ev.List.Kind == lg.ListFailed && s.list.Pending():
 		s.logLine(s.list.callFailed(s.now))
 		s.metricsChanged()
-		next := s.list.Failed(s.now)
+		next := s.callFailed(ev)
 		s.logLine(s.list.failureLine(s.now, s.list.Number(), next))
 		s.timers.add(next, s.watch)
 	case ev.List.Kind == lg.ListFailed: // of a call that was given up before
@@ -119,6 +121,14 @@
 	}
 }
 
+// callFailed records a failed call and returns the time of the next one.
+func (s *State) callFailed(ev ListReceived) time.Duration {
+	if ev.Unusable {
+		return s.list.Unusable(s.now)
+	}
+	return s.list.Failed(s.now)
+}
+
 // scheduleFirstCall schedules the first call, once it is clear what the process knows from before.
 func (s *State) scheduleFirstCall() {
 	if !s.list.started && !s.listPushed() {
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -222,7 +222,7 @@
 // applyList applies the result of the current call to discovery.
 func (p *proxy) applyList(document listDocument) {
 	start := time.Now()
-	list, err := lg.List{Kind: lg.ListFailed}, document.err
+	list, err, unusable := lg.List{Kind: lg.ListFailed}, document.err, document.malformed
 	if document.malformed {
 		p.servers.RequestFull()
 	}
@@ -231,12 +231,14 @@
 		if update, err = p.servers.Apply(document.list, p.now()); err == nil {
 			list = update
 		}
+		unusable = err != nil
 	}
 	p.observer.recordCall(document, err, p.now())
 	if err == nil {
 		p.logListChanges()
 	}
 	p.step(reducer.ListReceived{List: list, NextFull: !p.servers.CanWatch(), Complete: document.list.IsFull(),
+		Unusable:       unusable,
 		ProcessingTime: document.decodeTime + time.Since(start)})
 	if err == nil {
 		p.publishInventory()
--- a/internal/transport/watcher.go
+++ b/internal/transport/watcher.go
@@ -80,7 +80,7 @@
 			w.setConn(nil)
 		}
 		result := listDocument{from: w, err: err, size: len(raw), callNumber: w.callCount,
-			duration: time.Since(start)}
+			duration: time.Since(start), malformed: isMalformed(err)}
 		if err == nil { // decoded here: in the reducer's goroutine it would delay requests
 			received := time.Now()
 			result.list, result.err = w.decoder.Decode(raw)
@@ -91,6 +91,12 @@
 	w.setConn(nil)
 }
 
+// isMalformed reports whether a call failed because its answer was malformed.
+func isMalformed(err error) bool {
+	return errors.Is(err, http1.ErrMalformed) || errors.Is(err, http1.ErrHeadSize) ||
+		errors.Is(err, http1.ErrBodySize)
+}
+
 // setConn closes the current connection and stores the given one, unless the watcher was stopped.
 // It reports whether there is a connection.
 func (w *watcher) setConn(conn netpollConn) bool {
