Bound the number of fields in a head

Cause: a parsed field takes 48 bytes, its shortest form on the wire 4, and the table doubles while it grows: 16 KiB of head became up to 400 KiB. Class: a bound in bytes of input for what is held in another form.

Change: a head of more than 256 fields is answered 431 (from a server: malformed), before the table grows.

TestFieldsAreBounded failed without the change (did not compile for lack of the bound; 3,000 fields were taken).

--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -15,6 +15,10 @@
 	MaxBody = 64 << 10 // a body that is buffered; a larger one is streamed, up to MaxStreamedBody
 )
 
+// MaxFields is the number of fields in the largest head. A parsed field takes twelve times the memory of the
+// shortest one.
+const MaxFields = 256
+
 // The framing of a chunked body (sizes, extensions and trailers) may take maxFramingBase bytes plus
 // maxFramingPerByte bytes for each byte of the body. This accepts a body sent in chunks of one byte.
 const (
@@ -240,6 +244,9 @@
 		if !ok || !isToken(name) || !isTextOnly(value) {
 			return ErrMalformed
 		}
+		if len(message.Fields) == MaxFields {
+			return ErrHeadSize
+		}
 		message.Fields = append(message.Fields, Field{name, value})
 	}
 	p.undecoded, p.bodyStart, p.bodyEnd = end+4, end+4, end+4
--- a/internal/http1/parser_test.go
+++ b/internal/http1/parser_test.go
@@ -234,3 +234,19 @@
 		}
 	}
 }
+
+// TestFieldsAreBounded guards against heads of very many short fields, which take many times their size once
+// they are parsed.
+func TestFieldsAreBounded(t *testing.T) {
+	for _, tc := range []struct {
+		fields int
+		want   error
+	}{{MaxFields, nil}, {MaxFields + 1, ErrHeadSize}, {3000, ErrHeadSize}} {
+		var p Parser
+		p.Feed([]byte("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", tc.fields-1) + "\r\n"))
+		message, err := p.Next()
+		if err != tc.want || (message != nil) != (tc.want == nil) {
+			t.Errorf("%d fields: %v", tc.fields, err)
+		}
+	}
+}
