Refuse a request whose client left before its answer and that comes again

Cause: a name was in use only until the attempt of its request had ended; the same unsafe request on another connection then ran again. Class: what a request leaves behind (that it may have run) is forgotten with the request.

Change: the names of requests that may have run, are not safe to repeat and whose clients left before the answer was written whole are remembered for 10 s, as hashes, 32,768 at most, the oldest forgotten first; a request of that name is answered 409, as while the first one is open. The reducer decides (abandoned.go).

TestDuplicateName's end asked for the fault (accepted once the first had timed out); it asks for 409 for the time of retention now and for acceptance after it. Not covered: a client that leaves once the whole answer was written but before it has read it.

--- a/cmd/lilacglade/list_test.go
+++ b/cmd/lilacglade/list_test.go
@@ -73,8 +73,10 @@
 	discovery := httptest.NewServer(list)
 	t.Cleanup(func() { list.publish(); discovery.CloseClientConnections(); discovery.Close() })
 	n := startProxy(t, discovery.Listener.Addr().String())
+	requests := 0
 	status := func() int {
-		conn, r := n.send(fullRequest)
+		requests++
+		conn, r := n.send(strings.Replace(fullRequest, "r1", fmt.Sprint("r", requests), 1))
 		defer conn.Close()
 		res, _ := n.readResponse(r)
 		return res.StatusCode
--- a/internal/reducer/clients.go
+++ b/internal/reducer/clients.go
@@ -114,7 +114,7 @@
 		s.countEnded(s.countReceived(s.counters.classes[ev.Class]), Rejected)
 		s.answerClient(client.id, Effect{Verdict: Rejected, Last: true})
 		return
-	case s.openNames[ev.Name]:
+	case s.openNames[ev.Name] || s.abandoned.contains(s.now, ev.Name):
 		// Otherwise two requests with the same name would reach the servers, where they can't be told
 		// from a repeat.
 		s.answerClient(client.id, Effect{Verdict: DuplicateName, Last: ev.Last || ev.Stream})
@@ -192,6 +192,7 @@
 	s.checkAnswer(req)
 	client := req.client
 	s.countEnded(req.counts, effect.Verdict)
+	s.recordExecuted(client, req)
 	// What still arrives of a streamed request is not a new request.
 	effect.Last = effect.Last || req.stream && req.completeAt == 0
 	s.completeRequest(req)
@@ -219,6 +220,9 @@
 	s.timers.remove(req.expiry)
 	delete(s.requests, req.id)
 	delete(s.openNames, req.name)
+	if req.clientLeft && req.mayNotRunAgain() {
+		s.abandoned.add(s.now, s.abandoned.hash(req.name))
+	}
 }
 
 // answerClient starts the writing of an answer on a client connection.
@@ -239,11 +243,15 @@
 	if client == nil || client.phase != clientAnswering {
 		return
 	}
-	if source := client.source; source != nil {
+	streamed := client.source != nil // then its server may have broken off
+	if streamed {
 		s.streamEnded(client, ev)
 	}
 	switch {
 	case !ev.OK:
+		if !streamed {
+			s.rememberExecuted(client)
+		}
 		s.closeClient(client, ClosedWriteFailed)
 	case client.closeAfterAnswer:
 		// Closing it here could send a reset that overtakes the answer: the connection is closed once
@@ -291,6 +299,7 @@
 		s.streamEnded(client, ResponseWritten{})
 	}
 	if req := client.req; req != nil {
+		req.clientLeft = true
 		s.countEnded(req.counts, Failed)
 		s.completeRequest(req)
 		s.cancelIncomplete(req)
--- a/internal/reducer/clients_test.go
+++ b/internal/reducer/clients_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -118,7 +119,7 @@
 }
 
 // TestDuplicateName checks that a request whose name is in use does not reach a server while the first
-// one may be there, whether or not the first one's client is still connected.
+// one may be there, whether or not the first one's client is still connected, nor after it may have run.
 func TestDuplicateName(t *testing.T) {
 	m, req := startedModel(t)
 	again := RequestReceived{Conn: 2, Name: "1", Deadline: req.deadline}
@@ -133,11 +134,34 @@
 		t.Error("accepted, though the first may still be at a server")
 	}
 	m.advance(time.Second)
-	again.Conn, again.Deadline, again.Payload = 4, m.now+time.Second, &modelRequest{conn: 4}
 	m.openClient(4)
+	if again.Conn = 4; m.verdict(again) != DuplicateName {
+		t.Error("accepted, though the first may have run")
+	}
+	m.advance(abandonedRetention)
+	again.Conn, again.Deadline, again.Payload = 5, m.now+time.Second, &modelRequest{conn: 5}
+	m.openClient(5)
 	for _, e := range m.s.Step(m.now, again) {
 		if e.Do == AnswerClient && e.Verdict == DuplicateName {
 			t.Error("the name is in use though the first request has ended")
 		}
 	}
 }
+
+// TestAbandonedNamesAreBounded checks that clients that leave under ever new names don't fill the memory:
+// the oldest names are forgotten first.
+func TestAbandonedNamesAreBounded(t *testing.T) {
+	names := newAbandonedNames()
+	for i := range 3 * maxAbandoned {
+		names.add(0, names.hash(strconv.Itoa(i)))
+		names.add(0, names.hash(strconv.Itoa(i)))
+	}
+	if len(names.until) != maxAbandoned || len(names.oldest) != maxAbandoned {
+		t.Errorf("%d names, %d in order", len(names.until), len(names.oldest))
+	}
+	for i, want := range map[int]bool{0: false, 2*maxAbandoned - 1: false, 2 * maxAbandoned: true, 3*maxAbandoned - 1: true} {
+		if names.contains(0, strconv.Itoa(i)) != want {
+			t.Errorf("name %d remembered: %t", i, !want)
+		}
+	}
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -69,6 +69,7 @@
 	closingClients      int // clients in phase clientClosing
 	requests            map[lg.RequestID]*request
 	openNames           map[string]bool // of all requests in requests
+	abandoned           abandonedNames
 	pool                *pool.Pool[*attempt]
 	serverConns         map[ConnID]*serverConn
 	lastRequestID       lg.RequestID
@@ -108,7 +109,9 @@
 	evicted, closeCounted bool
 	req                   *request
 	closeAfterAnswer      bool // close it after the answer
-	overLimit             bool // it exceeds MaxClients
+	// executed stands for the name of its last request that must not run again; 0: none.
+	executed  uint64
+	overLimit bool // it exceeds MaxClients
 }
 
 // request is a request that is unanswered, or of which an attempt is still open.
@@ -139,6 +142,7 @@
 	bodyConsumed bool          // it can't be sent again
 	streaming    bool          // its answer is passed on while it arrives
 	done         bool          // the final answer was given, or none is due
+	clientLeft   bool          // before its final answer
 	expiry       *timer        // ends it at its deadline; nil while its body arrives
 }
 
@@ -189,6 +193,7 @@
 	}
 	s := &State{cfg: cfg, decider: decider, clients: map[ConnID]*clientConn{},
 		requests: map[lg.RequestID]*request{}, openNames: map[string]bool{},
+		abandoned:   newAbandonedNames(),
 		serverConns: map[ConnID]*serverConn{}, locations: map[lg.ServerID]sendguard.Location{}}
 	cfg.Pool.MaxConns, cfg.Pool.IdleTimeout = cfg.MaxServerConns, cfg.ServerIdleTimeout
 	s.pool = pool.New[*attempt](cfg.Pool)
@@ -319,6 +324,9 @@
 	case ResponseWritten:
 		s.responseWritten(ev)
 	case ClientClosed:
+		if client := s.clients[ev.Conn]; client != nil && client.phase == clientAnswering {
+			s.rememberExecuted(client)
+		}
 		s.clientClosed(ev.Conn)
 	case ServerDialed:
 		s.serverDialed(ev)
--- a/internal/reducer/streams.go
+++ b/internal/reducer/streams.go
@@ -104,6 +104,7 @@
 	conn.phase, req.done, req.streaming, client.source = connStreaming, true, true, conn
 	req.payload = nil
 	s.endAttempt(attempt, lg.OK, ev.Load)
+	s.recordExecuted(client, req)
 	if s.cfg.Trace != nil {
 		s.trace("F %d streams", req.id)
 	}
