--- a/cmd/lilacglade/leave_test.go
+++ b/cmd/lilacglade/leave_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -63,3 +65,30 @@
 		})
 	}
 }
+
+// TestResentRequestRunsOnceAcrossUpgrade guards against an unsafe request that runs twice because its client
+// leaves the old process of an upgrade without its answer and sends it again to the new one.
+func TestResentRequestRunsOnceAcrossUpgrade(t *testing.T) {
+	const delay = 60 * time.Millisecond
+	var ran executions
+	handler := ran.handler(delay)
+	p := newPlatform(t, startDiscovery(t, startServer(t, handler), startServer(t, handler)))
+	addr := listenAddr(t, p.socket)
+	old, oldAdmin := p.start()
+	p.waitHealthy(old, oldAdmin)
+	old.addr = addr
+	conn, _ := old.send("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n") // it stays with the old process
+	next, nextAdmin := p.start()
+	p.waitHealthy(next, nextAdmin)
+	next.addr = addr
+	io.WriteString(conn, fullRequest)
+	next.waitFor("it runs", func() bool { return len(ran.of("r1")) == 1 })
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	conn.Close()
+	time.Sleep(2 * delay)
+	_, r := next.send(fullRequest)
+	res, _ := next.readResponse(r)
+	if times := ran.of("r1"); len(times) != 1 {
+		t.Errorf("it ran %d times; the second was answered %d", len(times), res.StatusCode)
+	}
+}
