Count an upload's time from when its client may have sent it, not from when it is read

Cause: an upload had no deadline until its last byte had reached this process. While a server reads slowly the proxy reads no further, and the client's system holds the rest of what the client has sent (up to 4 MiB). Class: a time that counts from an event at the other side is taken from when we see it.

Change: the look at an upload each 50 ms notes when the client certainly had not sent all: it could send more and did not, or had more left than 4 MiB. Once that is so long ago that the request's time is nearly over, the body counts as arrived right after, and the reducer's timer ends the request.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -98,13 +98,14 @@
 		stream := &bodyStream{message: message, source: conn, length: body.Length(),
 			buffers: p.buffers, peeks: &p.peeks, isUpload: true, body: body}
 		conn.streaming = true
+		stream.timeout = request.Deadline - p.at(lastRead)
 		watchUpload(stream, lastRead)
 		remaining := stream.length - body.Received()
 		if stream.length < 0 {
 			remaining = http1.MaxStreamedBody
 		}
 		request.Stream, request.Timeout, request.Last, request.Payload =
-			true, request.Deadline-p.at(lastRead), closeAfter, stream
+			true, stream.timeout, closeAfter, stream
 		request.Deadline += uploadPauseBudget + time.Duration(remaining)*time.Second/minUploadRate
 		event = request
 	}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -25,7 +25,8 @@
 type bodyStream struct {
 	message  *http1.Message // with the part of the body that had arrived when it was found to be large
 	source   *connection
-	length   int64 // of the body in bytes, -1 when it is not known
+	length   int64         // of the body in bytes, -1 when it is not known
+	timeout  time.Duration // upload: the request's time from its last byte on
 	buffers  *bufferPool
 	isUpload bool
 	complete bool // the reducer knows that its last byte has arrived
--- a/internal/transport/uploadwatch.go
+++ b/internal/transport/uploadwatch.go
@@ -47,6 +47,10 @@
 	return peekErr
 }
 
+// maxClientSendBuffer is what a client's system may hold of a body that the client has sent: the largest
+// buffer that Linux gives a TCP connection by default.
+const maxClientSendBuffer = 4 << 20
+
 // uploadWatch looks at what arrives of an upload while nothing of it is read: because its server takes
 // nothing, no buffer is free or no attempt has begun. The request's time counts from its last byte, read
 // or not, and its client may pause no longer than when it is read.
@@ -55,11 +59,14 @@
 	lookedAt   time.Time // by then all bytes that had arrived were read, or looked at
 	arrived    int64     // bytes by the last look, read or not
 	progressAt time.Time // when bytes last arrived, or the client may have been unable to send any
+	// notSentAt is the last time at which the client can't have sent its last byte: it could send more and
+	// did not, or had more left than its system holds.
+	notSentAt time.Time
 }
 
 // watchUpload starts to watch an upload. By lastRead all bytes that had arrived were read.
 func watchUpload(stream *bodyStream, lastRead time.Time) {
-	watch := &uploadWatch{stream: stream, lookedAt: lastRead, progressAt: time.Now()}
+	watch := &uploadWatch{stream: stream, lookedAt: lastRead, progressAt: time.Now(), notSentAt: lastRead}
 	watch.schedule()
 }
 
@@ -72,6 +79,10 @@
 	switch state {
 	case uploadArriving:
 		w.lookedAt = now
+		if w.maySoonExpire(now) {
+			inbox.post(bodyArrived{stream: w.stream, arrivedAfter: w.notSentAt})
+			return
+		}
 		w.schedule()
 	case uploadArrived, uploadRead: // an attempt that was stopped may have read the end without a report
 		inbox.post(bodyArrived{stream: w.stream, arrivedAfter: w.lookedAt})
@@ -80,6 +91,22 @@
 	}
 }
 
+// maySoonExpire reports whether the client may have sent its last byte so long ago that the request's time is
+// over before the look after the next: what it has sent may wait in its own system while the server reads
+// slowly.
+func (w *uploadWatch) maySoonExpire(now time.Time) bool {
+	s := w.stream
+	rawConn, err := s.source.stdConn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := s.length - w.arrived
+	if hasReceiveRoom(rawConn) || s.length >= 0 && left > maxClientSendBuffer {
+		w.notSentAt = now
+	}
+	return now.Sub(w.notSentAt) >= max(uploadLookInterval, s.timeout-2*uploadLookInterval)
+}
+
 // uploadState is how far an upload has come.
 type uploadState uint8
 
