Tell a server's new process from the one before, by instance, start and address

Cause: a server was its instance's name alone. The same instance at another address, or started anew, kept the connections to the process before, and requests went on to it; a new instance at the address of one that the list still named stood beside it, so that one process was two servers: a warm one, and another one to try again at. Class: identity by a part of it.

Change: the list store knows the instance started last of each address; one that started earlier there counts as gone, whatever the list still says. The pool closes connections to the process that a server was before, idle, in use (after the exchange) or being opened. Where two name one address and neither is later, both stay.

The fixture of the start times' tests listed five servers at one address, which is no deployment: they have one each now.

--- a/cmd/lilacglade/isolation_test.go
+++ b/cmd/lilacglade/isolation_test.go
@@ -56,8 +56,9 @@
 	if err == nil {
 		defer conn.Close()
 		conn.SetDeadline(start.Add(wait + 2*lostAfter))
-		fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: h\r\nRequest-Id: ordinary-%d\r\nRequest-Class: album-edit\r\n"+
-			"Request-Timeout-Ms: %d\r\nContent-Length: 3\r\n\r\nabc", number, wait.Milliseconds())
+		fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: h\r\nRequest-Id: ordinary-%d\r\n"+
+			"Request-Class: album-edit\r\nRequest-Timeout-Ms: %d\r\nContent-Length: 3\r\n\r\nabc", number,
+			wait.Milliseconds())
 		_, err = http.ReadResponse(bufio.NewReader(conn), nil)
 	}
 	o.record(time.Since(start), wait, err)
@@ -141,7 +142,8 @@
 		t.Fatal(err)
 	}
 	config := filepath.Join(t.TempDir(), "config.json")
-	small := strings.Replace(string(example), `"memory_mb": 192`, fmt.Sprintf(`"memory_mb": %d`, smallMemoryMB), 1)
+	limit := fmt.Sprintf(`"memory_mb": %d`, smallMemoryMB)
+	small := strings.Replace(string(example), `"memory_mb": 192`, limit, 1)
 	if err := os.WriteFile(config, []byte(small), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/lilacglade/list_test.go
+++ b/cmd/lilacglade/list_test.go
@@ -27,10 +27,16 @@
 		instances = append(instances, fmt.Sprintf(`{"instanceId":"s-%s","hostPort":"%[1]s","zone":"harbor-st",`+
 			`"machineType":"std-2","cell":0,"lifecycle":"ready","weight":1,"startedAtMs":0}`, addr))
 	}
+	l.publishInstances(instances...)
+}
+
+// publishInstances replaces the list by one of the given instances.
+func (l *listService) publishInstances(instances ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.version++
-	l.body = fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, l.version, strings.Join(instances, ","))
+	l.body = fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, l.version,
+		strings.Join(instances, ","))
 	l.written.Store(0)
 	if l.changed != nil {
 		close(l.changed)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -84,6 +84,7 @@
 	phase   phase
 	since   time.Duration // start of the phase
 	uses    int           // how often it was assigned
+	process int           // value of Server.process when it was opened
 }
 
 // State is the server's state according to the server list.
@@ -103,6 +104,7 @@
 	waiting      []T        // oldest first
 	opening      int        // connections being opened
 	liveness     liveness
+	process      int      // counts the processes that the server has been
 	suspectInUse *Conn[T] // assigned although it had been idle for longer than is proven safe; nil: none
 
 	lastAnswer  time.Duration // time of the last answer on any connection
@@ -210,6 +212,15 @@
 	}
 }
 
+// ReplaceServer records that a server is another process from now on: no connection to the one before is
+// used again.
+func (p *Pool[T]) ReplaceServer(id lg.ServerID) {
+	if s := p.servers[id]; s != nil {
+		s.process++
+		p.closeIdle(s, causeServerState)
+	}
+}
+
 // closeIdle closes a server's idle connections.
 func (p *Pool[T]) closeIdle(s *Server[T], cause int) {
 	for len(s.idle) > 0 {
@@ -301,7 +312,8 @@
 	s.conns++
 	p.lastID++
 	p.conns++
-	p.emit(Action[T]{Kind: Open, Conn: &Conn[T]{ID: p.lastID, Server: s, since: now}, Ticket: t})
+	c := &Conn[T]{ID: p.lastID, Server: s, since: now, process: s.process}
+	p.emit(Action[T]{Kind: Open, Conn: c, Ticket: t})
 	return true
 }
 
@@ -467,6 +479,9 @@
 	switch {
 	case s.state != lg.Ready:
 		p.closeConn(c, causeServerState)
+	case c.process != s.process:
+		p.closeConn(c, causeServerState)
+		p.resolveStranded(now, s)
 	case len(s.waiting) > 0:
 		t := s.takeWaiting()
 		p.assign(now, c, t)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -585,3 +585,44 @@
 		}
 	}
 }
+
+// TestReplacedServer guards against requests on connections to the process that a server was before:
+// connections that are idle, in use or being opened at that time are closed, and waiting attempts get new
+// ones.
+func TestReplacedServer(t *testing.T) {
+	p := New[int](Config{MaxConns: 8, IdleTimeout: time.Minute, Eager: true})
+	p.SetServerState(1, lg.Ready)
+	take := func() (all []Action[int]) {
+		all = slices.Clone(p.Actions)
+		p.Actions = p.Actions[:0]
+		return all
+	}
+	open := func(ticket int) *Conn[int] {
+		p.Acquire(0, p.Server(1), ticket, false)
+		return take()[0].Conn
+	}
+	idle, used := open(1), open(2)
+	p.Opened(0, idle, OpenOK)
+	p.Opened(0, used, OpenOK)
+	p.Release(0, idle)
+	take()
+	p.ReplaceServer(1)
+	if acts := take(); len(acts) != 1 || acts[0].Kind != Close || acts[0].Conn != idle {
+		t.Errorf("idle: %+v", acts)
+	}
+	opening := open(3)
+	p.ReplaceServer(1)
+	p.Release(0, used)
+	if acts := take(); len(acts) != 1 || acts[0].Kind != Close || acts[0].Conn != used {
+		t.Errorf("in use: %+v", acts)
+	}
+	p.Opened(0, opening, OpenOK)
+	acts := take()
+	if len(acts) != 2 || acts[0].Kind != Close || acts[0].Conn != opening || acts[1].Kind != Open {
+		t.Fatalf("being opened: %+v", acts)
+	}
+	p.Opened(0, acts[1].Conn, OpenOK)
+	if acts := take(); len(acts) != 1 || acts[0].Kind != Assign || acts[0].Ticket != 3 {
+		t.Errorf("then: %+v", acts)
+	}
+}
--- a/internal/reducer/clients_test.go
+++ b/internal/reducer/clients_test.go
@@ -159,7 +159,8 @@
 	if len(names.until) != maxAbandoned || len(names.oldest) != maxAbandoned {
 		t.Errorf("%d names, %d in order", len(names.until), len(names.oldest))
 	}
-	for i, want := range map[int]bool{0: false, 2*maxAbandoned - 1: false, 2 * maxAbandoned: true, 3*maxAbandoned - 1: true} {
+	const kept = 2 * maxAbandoned // the first name that is
+	for i, want := range map[int]bool{0: false, kept - 1: false, kept: true, 3*maxAbandoned - 1: true} {
 		if names.contains(0, strconv.Itoa(i)) != want {
 			t.Errorf("name %d remembered: %t", i, !want)
 		}
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -173,7 +173,9 @@
 	// Complete means that the document named every server, though List holds only what changed.
 	Complete bool
 	// Unusable means that a ListFailed call was answered, with a document that can't be used.
-	Unusable       bool
+	Unusable bool
+	// Replaced are servers that are other processes than before, though they are listed under the same ID.
+	Replaced       []lg.ServerID
 	ProcessingTime time.Duration // spent on reading and applying the document
 }
 
--- a/internal/reducer/list.go
+++ b/internal/reducer/list.go
@@ -71,6 +71,9 @@
 	if s.cfg.Trace != nil {
 		s.traceList(list)
 	}
+	for _, id := range ev.Replaced {
+		s.pool.ReplaceServer(id)
+	}
 	s.applyList(list)
 	s.runPoolActions()
 	s.metricsChanged()
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -29,9 +29,11 @@
 	zones, kinds []string
 	startTimes   *startTimes
 	records      map[lg.ServerID]record
-	documents    uint64   // number of documents applied
-	fullReturned bool     // a full list was returned to the caller: from then on only changes are
-	lastChanges  []Change // by the last document that was applied
+	owners       map[string]lg.ServerID // of each address: the instance started last of those listed there
+	documents    uint64                 // number of documents applied
+	fullReturned bool                   // a full list was returned to the caller: from then on only changes are
+	lastChanges  []Change               // by the last document that was applied
+	lastReplaced []lg.ServerID          // see Replaced
 }
 
 // New returns an empty Store. Zones and kinds are numbered by their index in the given names; epoch is the
@@ -44,7 +46,8 @@
 func (s *Store) WithNames(zones, kinds []string) *Store { return newStore(zones, kinds, s.startTimes) }
 
 func newStore(zones, kinds []string, known *startTimes) *Store {
-	return &Store{zones: zones, kinds: kinds, startTimes: known, records: map[lg.ServerID]record{}}
+	return &Store{zones: zones, kinds: kinds, startTimes: known, records: map[lg.ServerID]record{},
+		owners: map[string]lg.ServerID{}}
 }
 
 // Epoch is the best estimate of the Unix time at which the proxy's clock read 0.
@@ -122,7 +125,7 @@
 	s.startTimes.observe(doc.instances, now, cached)
 	corrected := s.startTimes.correct(now)
 	s.documents++
-	s.lastChanges = s.lastChanges[:0]
+	s.lastChanges, s.lastReplaced = s.lastChanges[:0], nil
 	list := lg.List{Kind: lg.Changes}
 	for _, in := range doc.instances {
 		s.applyInstance(&list, in)
@@ -147,7 +150,7 @@
 // applyInstance applies one instance of a document, and records what it changed.
 func (s *Store) applyInstance(list *lg.List, in instance) {
 	before, known := s.records[in.key]
-	gone := states[in.State] == lg.Gone
+	gone := states[in.State] == lg.Gone || !known && s.superseded(in)
 	if known && before.instance == in {
 		before.document = s.documents
 		s.records[in.key] = before
@@ -163,10 +166,15 @@
 	}
 	list.Servers = append(list.Servers, s.toServer(in))
 	if gone {
-		delete(s.records, in.key)
-	} else {
-		s.records[in.key] = record{in, s.documents}
+		s.remove(in.key)
+		return
+	}
+	if known && (before.instance.Addr != in.Addr || before.instance.Started != in.Started) {
+		s.remove(in.key)
+		s.lastReplaced = append(s.lastReplaced, in.key)
 	}
+	s.records[in.key] = record{in, s.documents}
+	s.takeAddress(list, in)
 }
 
 // removeUnnamed removes the servers that a full list does not name.
@@ -184,11 +192,9 @@
 		if record.document == s.documents {
 			continue
 		}
-		delete(s.records, id)
-		s.lastChanges = append(s.lastChanges, Change{Name: record.instance.ID, State: lg.Gone})
-		list.Servers = append(list.Servers, lg.Server{ID: id, State: lg.Gone})
+		s.listGone(list, id, record.instance.ID)
 	}
-	slices.SortFunc(list.Servers, func(a, b lg.Server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortStableFunc(list.Servers, func(a, b lg.Server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // addCorrected adds the servers whose start times were corrected and that the list does not name.
--- a/internal/serverlist/starts_test.go
+++ b/internal/serverlist/starts_test.go
@@ -14,7 +14,7 @@
 // documentOf returns a document whose servers started at times on the proxy's clock; 0: long ago.
 func documentOf(version int, full bool, started map[string]time.Duration) []byte {
 	entries := ""
-	for _, id := range []string{"a", "b", "c", "d", "e"} {
+	for i, id := range []string{"a", "b", "c", "d", "e"} {
 		at, ok := started[id]
 		if !ok {
 			continue
@@ -25,7 +25,7 @@
 		if entries != "" {
 			entries += ","
 		}
-		entries += entry(id, "127.0.0.1:1", "ready", "1", fmt.Sprint(at.Milliseconds()))
+		entries += entry(id, fmt.Sprint("127.0.0.1:", i+1), "ready", "1", fmt.Sprint(at.Milliseconds()))
 	}
 	return doc(fmt.Sprint(version), fmt.Sprint(full), entries)
 }
--- a/internal/transport/detached.go
+++ b/internal/transport/detached.go
@@ -15,6 +15,8 @@
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	"lilacglade/internal/http1"
 )
 
 // The library reads whatever arrives, as fast as it arrives. A connection that brings more than can
@@ -275,3 +277,27 @@
 		_ = c.stdConn.SetReadDeadline(pastDeadline())
 	}
 }
+
+// maxDiscardedBytes is how much is read and dropped of a client that goes on sending after its last answer:
+// the rest of the largest request. What exceeds it stays unread until the connection is closed.
+const maxDiscardedBytes = http1.MaxStreamedBody
+
+// startDiscarding starts to read and drop what arrives on a detached connection, once.
+func (c *connection) startDiscarding() { c.discardOnce.Do(func() { go c.discardInput() }) }
+
+// discardInput reads and drops what still arrives on a detached connection, until it is closed.
+func (c *connection) discardInput() {
+	_ = c.stdConn.SetReadDeadline(time.Time{})
+	buffer := make([]byte, readSize)
+	for discarded := 0; discarded < maxDiscardedBytes; {
+		n, err := c.stdConn.Read(buffer)
+		discarded += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = c.stdConn.SetReadDeadline(time.Time{}) // it was set for a stream that was stopped
+		} else if err != nil {
+			c.inbox.post(connClosed{c, true})
+			return
+		}
+		yield()
+	}
+}
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -234,11 +234,14 @@
 		unusable = err != nil
 	}
 	p.observer.recordCall(document, err, p.now())
+	var replaced []lg.ServerID
 	if err == nil {
+		replaced = p.servers.Replaced()
 		p.logListChanges()
 	}
 	p.step(reducer.ListReceived{List: list, NextFull: !p.servers.CanWatch(), Complete: document.list.IsFull(),
 		Unusable:       unusable,
+		Replaced:       replaced,
 		ProcessingTime: document.decodeTime + time.Since(start)})
 	if err == nil {
 		p.publishInventory()
--- a/internal/transport/proxy.go
+++ b/internal/transport/proxy.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"log"
-	"runtime"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -254,7 +253,7 @@
 			p.recordItem(item, start)
 		}
 		clear(items)
-		runtime.Gosched() // see bulk.go
+		yield()
 	}
 	return nil
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"runtime"
 	"sync"
 	"time"
 
@@ -134,7 +133,7 @@
 		}
 		leftover = append(leftover, rest...)
 		if !s.body.Done {
-			runtime.Gosched() // see bulk.go
+			yield()
 		}
 	}
 	return leftover, nil
