Limit the library's log lines to one a second

Cause: the library's logger wrote to standard error directly, past the limits of our own lines: 5.2 MB in 4 s beside three clients that connect and reset. Class: a log line for each of a client's actions.

Change: its lines go to our log, at most one a second, with the number of those left out.

TestResetsDontFillTheLog failed before (484 lines for 500 resets) and passes.

--- a/cmd/lilacglade/isolation_test.go
+++ b/cmd/lilacglade/isolation_test.go
@@ -185,3 +185,25 @@
 		t.Errorf("%d MB were read after the last answer", sent>>20)
 	}
 }
+
+// TestResetsDontFillTheLog guards against a log line for each connection that a client resets.
+func TestResetsDontFillTheLog(t *testing.T) {
+	const resets, wantLines = 500, 10 // a line a second at most, and those of the start
+	n := startSmallProxy(t, echo)
+	for range resets {
+		conn, err := net.Dial("tcp", n.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(conn, "\r\n\r\n")
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+	_, r := n.send(fullRequest)
+	if res, _ := n.readResponse(r); res.StatusCode != 200 {
+		t.Errorf("got %d", res.StatusCode)
+	}
+	if lines := strings.Count(n.log.String(), "\n"); lines > wantLines {
+		t.Errorf("%d lines for %d resets", lines, resets)
+	}
+}
--- a/internal/transport/detached.go
+++ b/internal/transport/detached.go
@@ -30,10 +30,11 @@
 // before the poller goes on. Otherwise the poller could read megabytes from a fast sender before a
 // handler pauses it.
 func init() {
-	_ = netpoll.Configure(netpoll.Config{PollerNum: 1, Runner: func(_ context.Context, handle func()) {
-		go handle()
-		runtime.Gosched()
-	}})
+	_ = netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: newLibraryLog(),
+		Runner: func(_ context.Context, handle func()) {
+			go handle()
+			runtime.Gosched()
+		}})
 }
 
 // barrier waits until the poller has finished the events that it was handling.
