--- a/cmd/lilacglade/isolation_test.go
+++ b/cmd/lilacglade/isolation_test.go
@@ -32,13 +32,17 @@
 type outcomes struct {
 	mu                     sync.Mutex
 	total, inTime, overdue int // overdue: answered over lostAfter too late, or never
+	served                 int // with a server's answer
 	worst                  time.Duration
 }
 
-func (o *outcomes) record(took, wait time.Duration, err error) {
+func (o *outcomes) record(took, wait time.Duration, status int, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.total++
+	if status == http.StatusOK {
+		o.served++
+	}
 	o.worst = max(o.worst, took)
 	switch {
 	case err != nil || took > wait+lostAfter:
@@ -53,15 +57,19 @@
 	wait := ordinaryWaits[number%len(ordinaryWaits)]
 	start := time.Now()
 	conn, err := net.DialTimeout("tcp", addr, wait+lostAfter)
+	status := 0
 	if err == nil {
 		defer conn.Close()
 		conn.SetDeadline(start.Add(wait + 2*lostAfter))
 		fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: h\r\nRequest-Id: ordinary-%d\r\n"+
 			"Request-Class: album-edit\r\nRequest-Timeout-Ms: %d\r\nContent-Length: 3\r\n\r\nabc", number,
 			wait.Milliseconds())
-		_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+		var res *http.Response
+		if res, err = http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			status = res.StatusCode
+		}
 	}
-	o.record(time.Since(start), wait, err)
+	o.record(time.Since(start), wait, status, err)
 }
 
 // flood writes a head and then the same bytes at full speed on one connection after another, and drops what
@@ -207,3 +215,50 @@
 		t.Errorf("%d lines for %d resets", lines, resets)
 	}
 }
+
+// holdOpen opens connections that send bytes and then stay, until the test ends.
+func holdOpen(t *testing.T, addr string, count int, sent func(number int) string) {
+	for i := range count {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		go io.WriteString(conn, sent(i))
+	}
+}
+
+// halfRequest returns a request whose body is not sent whole.
+func halfRequest(number, length, sent int) string {
+	head := strings.Replace(requestHeader, "r1", fmt.Sprint("half-", number), 1)
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, length, strings.Repeat("x", sent))
+}
+
+// TestHalfRequestsStayInMemory guards against a process that passes its memory limit because hundreds of
+// clients stop half way through a request.
+func TestHalfRequestsStayInMemory(t *testing.T) {
+	n := startSmallProxy(t, echo)
+	holdOpen(t, n.addr, 590, func(i int) string { return halfRequest(i, 64<<10, 60000) })
+	time.Sleep(abuseDuration)
+	if used := n.peakMemoryMB(); used > allowedMemoryMB {
+		t.Errorf("the process used %d MB, want at most %d", used, allowedMemoryMB)
+	}
+}
+
+// TestStalledUploadsDontDelayOthers guards against other clients' requests that are not served because
+// hundreds of clients stop half way through a large request.
+func TestStalledUploadsDontDelayOthers(t *testing.T) {
+	n := startSmallProxy(t, echo)
+	holdOpen(t, n.addr, 450, func(i int) string { return halfRequest(i, 2<<20, 300000) })
+	time.Sleep(200 * time.Millisecond)
+	var result outcomes
+	var clients sync.WaitGroup
+	for number := range 100 {
+		clients.Go(func() { result.sendOrdinary(n.addr, number) })
+		time.Sleep(ordinaryInterval)
+	}
+	clients.Wait()
+	if result.overdue > 0 || float64(result.served) < wantServedInTime*float64(result.total) {
+		t.Errorf("%d of %d requests were overdue, %d served", result.overdue, result.total, result.served)
+	}
+}
