--- a/review/standin-2/leftupload.go
+++ b/review/standin-2/leftupload.go
@@ -25,8 +25,8 @@
 	fewDescriptors = 256
 )
 
-// leftUpload has clients leave while their uploads wait for a server, in a busy fleet. At the end they have all
-// gone, and some other clients ask.
+// leftUpload has clients leave while their uploads wait for a server, in a busy fleet. At the end they have
+// all gone, and some other clients ask.
 func leftUpload(r *run) int {
 	var list []instance
 	for i := range 4 {
