--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 	echo "bin/lilacglade or bin/standin2 is missing" >&2
 	exit 2
 fi
-exec ../../bin/standin2 address-reused
+exec ../../bin/standin2 two-processes
--- a/review/standin-2/common.go
+++ b/review/standin-2/common.go
@@ -92,8 +92,11 @@
 	photoUpload = class{"photo-upload", "keyed", "zone", 400, 2000, 1200}
 )
 
-// maxSockets is the largest number of descriptors on the operators' days.
-const maxSockets = 1024
+// maxSockets and maxMemory, in MB, are the largest limits on the operators' days.
+const (
+	maxSockets = 1024
+	maxMemory  = 192
+)
 
 // options are what differs between the configurations of the cases.
 type options struct {
@@ -104,6 +107,7 @@
 	classes    []class
 	known      string // the known list; empty: none
 	sockets    int    // limits.sockets; 0: maxSockets
+	memory     int    // limits.memory_mb; 0: maxMemory
 }
 
 // settings returns the settings object, in the form of the kit's example.
@@ -140,6 +144,7 @@
 type proxy struct {
 	run                                        *run
 	name, listen, admin, discovery, peers, dir string
+	passed                                     *os.File // the platform's listening socket; nil: none
 	cmd                                        *exec.Cmd
 	exited                                     chan struct{}
 	mu                                         sync.Mutex
@@ -153,9 +158,10 @@
 		known = json.RawMessage(o.known)
 	}
 	raw, err := json.MarshalIndent(map[string]any{"name": p.name, "listen": p.listen, "discovery": p.discovery,
-		"seed":   fmt.Sprintf("8c1f30d27a5be9%02x", o.me),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": cmp.Or(o.sockets, maxSockets)},
-		"known":  known, "settings": o.settings()}, "", " ")
+		"seed": fmt.Sprintf("8c1f30d27a5be9%02x", o.me),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": cmp.Or(o.memory, maxMemory),
+			"sockets": cmp.Or(o.sockets, maxSockets)},
+		"known": known, "settings": o.settings()}, "", " ")
 	if err != nil {
 		return err
 	}
@@ -203,6 +209,10 @@
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(p.dir, "config.json"), "NODE_NAME="+p.name,
 		"NODE_LISTEN="+p.listen, "NODE_DISCOVERY="+p.discovery, "NODE_ADMIN="+p.admin,
 		"TMPDIR="+filepath.Join(p.dir, "tmp"))
+	if p.passed != nil { // as descriptor 5
+		cmd.ExtraFiles = []*os.File{p.passed, p.passed, p.passed}
+		cmd.Env = append(cmd.Env, "NODE_PASSED_SOCKET=5")
+	}
 	if p.peers != "" {
 		cmd.Env = append(cmd.Env, "NODE_PEERS="+p.peers)
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,7 +13,8 @@
 // cases are the cases by name.
 var cases = map[string]func(*run) int{"second-answer": secondAnswer, "address-reused": addressReused,
 	"turned-away": turnedAway, "restarted-waiting": restartedWaiting,
-	"longer-deadline": longerDeadline, "reset-upload": resetUpload, "left-upload": leftUpload}
+	"longer-deadline": longerDeadline, "reset-upload": resetUpload, "left-upload": leftUpload,
+	"two-processes": twoProcesses, "half-requests": halfRequests}
 
 // maxRun ends a case that hangs: a script may take 120 s.
 const maxRun = 110 * time.Second
