Review: the records have every request that was sent, answered and run

Cause: the records of some cases had only sums and what went wrong. Change: each request of a client and each begin at a server is a line. No check changes.

--- a/review/standin-2/addressreused.go
+++ b/review/standin-2/addressreused.go
@@ -18,7 +18,7 @@
 	servers := map[string]*server{}
 	var list []instance
 	for _, name := range names {
-		s := &server{run: r, id: name, zone: "harbor-st", work: 5 * time.Millisecond, quiet: true}
+		s := &server{run: r, id: name, zone: "harbor-st", work: 5 * time.Millisecond}
 		if err := s.serve(); err != nil {
 			return r.end(couldNot, "%v", err)
 		}
@@ -71,7 +71,7 @@
 		servers["s-old"].stop()
 		time.Sleep(300 * time.Millisecond)
 		s := &server{run: r, id: "s-new", zone: "harbor-st", address: servers["s-old"].address,
-			work: 5 * time.Millisecond, quiet: true}
+			work: 5 * time.Millisecond}
 		if err := s.serve(); err != nil {
 			return r.end(couldNot, "%v", err)
 		}
--- a/review/standin-2/halfrequests.go
+++ b/review/standin-2/halfrequests.go
@@ -24,8 +24,7 @@
 func halfRequests(r *run) int {
 	var list []instance
 	for i := range 4 {
-		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "harbor-st", work: 20 * time.Millisecond,
-			quiet: true}
+		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "harbor-st", work: 20 * time.Millisecond}
 		if err := s.serve(); err != nil {
 			return r.end(couldNot, "%v", err)
 		}
@@ -57,10 +56,11 @@
 			for n := 0; time.Now().Before(end) && p.alive(); n++ {
 				id := fmt.Sprintf("w%d-%d", worker, n)
 				text := requestText(albumEdit, id, "caption", 800*time.Millisecond)
-				if _, _, err := c.do(text, 2*time.Second); err != nil {
+				if status, _, err := c.do(text, 2*time.Second); err != nil {
 					unanswered.Add(1)
 					r.note("usual client: request %s: no answer (%v)", id, err)
 				} else {
+					r.note("usual client: request %s: status %d", id, status)
 					answered.Add(1)
 				}
 				time.Sleep(20 * time.Millisecond)
@@ -72,7 +72,7 @@
 		for worker := range halfClients {
 			wait.Go(func() {
 				for n := 0; time.Now().Before(end) && p.alive(); n++ {
-					half(p.listen, fmt.Sprintf("half-%d-%d", worker, n))
+					half(r, p.listen, fmt.Sprintf("half-%d-%d", worker, n))
 				}
 			})
 		}
@@ -103,7 +103,7 @@
 }
 
 // half sends most of a request and stays until it is answered or closed.
-func half(address, id string) {
+func half(r *run, address, id string) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		time.Sleep(50 * time.Millisecond)
@@ -112,8 +112,10 @@
 	defer conn.Close()
 	text := requestText(albumEdit, id, strings.Repeat("c", halfBody), 800*time.Millisecond)
 	_ = conn.SetDeadline(time.Now().Add(6 * time.Second))
-	_, _ = conn.Write([]byte(text[:len(text)-100]))
-	_, _ = conn.Read(make([]byte, 1024))
+	_, err = conn.Write([]byte(text[:len(text)-100]))
+	answer := make([]byte, 12)
+	n, readErr := conn.Read(answer)
+	r.note("bad client: half of request %s (%v): %q, %v", id, err, answer[:n], readErr)
 }
 
 // anonymous returns the memory of a process that is its own, in kB: without the program's file.
--- a/review/standin-2/leftupload.go
+++ b/review/standin-2/leftupload.go
@@ -30,8 +30,7 @@
 func leftUpload(r *run) int {
 	var list []instance
 	for i := range 4 {
-		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "harbor-st", work: 150 * time.Millisecond,
-			quiet: true}
+		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "harbor-st", work: 150 * time.Millisecond}
 		if err := s.serve(); err != nil {
 			return r.end(couldNot, "%v", err)
 		}
@@ -68,6 +67,7 @@
 				}
 				uploads.Add(1)
 				status, err := leave(p.listen, id, patience)
+				r.note("client %d: upload %s: status %d, %v (patience %v)", worker, id, status, err, patience)
 				if err != nil {
 					gone.Add(1)
 					left.Store(id, true)
--- a/review/standin-2/resetupload.go
+++ b/review/standin-2/resetupload.go
@@ -26,8 +26,7 @@
 	var resets atomic.Int64
 	var list []instance
 	for i := range 4 {
-		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "harbor-st", work: 3 * time.Millisecond,
-			quiet: true}
+		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "harbor-st", work: 3 * time.Millisecond}
 		s.readBody = func(conn net.Conn, request *http.Request) (int64, error) {
 			if r.trouble && request.ContentLength > 64<<10 && rand.IntN(resetEvery) == 0 {
 				n, err := io.CopyN(io.Discard, request.Body, rand.Int64N(request.ContentLength))
@@ -77,6 +76,7 @@
 				uploads.Add(1)
 				status, _, err := c.do(requestText(photoUpload, id+"u", strings.Repeat("p", size), 2*time.Second),
 					answerLimit)
+				r.note("client %d: upload %su of %d bytes: status %d, %v", worker, id, size, status, err)
 				if err != nil || status != 200 {
 					notServed.Add(1)
 				}
@@ -91,6 +91,7 @@
 				status, _, err = c.do(requestText(albumEdit, id+"e", "caption", 800*time.Millisecond), answerLimit)
 				if err == nil {
 					answered.Add(1)
+					r.note("client %d: edit %se: status %d", worker, id, status)
 					continue
 				}
 				lost.Add(1)
--- a/review/standin-2/secondanswer.go
+++ b/review/standin-2/secondanswer.go
@@ -26,14 +26,14 @@
 	var copies atomic.Int64
 	var list []instance
 	for i := range 4 {
-		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "bluff-rd", work: 4 * time.Millisecond,
-			quiet: true}
+		s := &server{run: r, id: fmt.Sprintf("s-%d", i), zone: "bluff-rd", work: 4 * time.Millisecond}
 		s.afterAnswer = func(conn net.Conn, reader *bufio.Reader, answer []byte) {
 			if !r.trouble || rand.IntN(secondEvery) > 0 {
 				return
 			}
 			if quietFor(conn, reader, time.Millisecond+rand.N(maxSecondWait-time.Millisecond)) {
 				copies.Add(1)
+				r.note("server %s: a second copy of the last answer on %v", s.id, conn.RemoteAddr())
 				_, _ = conn.Write(answer)
 			}
 		}
@@ -79,11 +79,13 @@
 				switch {
 				case err == nil && status == 200 && body == answerFor(id):
 					served.Add(1)
+					r.note("client %d: request %s: status 200, its own answer", worker, id)
 				case err == nil && status == 200:
 					foreign.Add(1)
 					r.note("client %d: request %s was answered 200 with %q", worker, id, body)
 				case err == nil && (status == 429 || status == 503):
 					refused.Add(1)
+					r.note("client %d: request %s: status %d", worker, id, status)
 				default:
 					failed.Add(1)
 					r.note("client %d: request %s: status %d, %v", worker, id, status, err)
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -26,7 +26,6 @@
 	onBegin     func(id string) // the last byte of a request has come
 	// readBody reads the body of a request; nil: all of it.
 	readBody   func(conn net.Conn, request *http.Request) (int64, error)
-	quiet      bool              // requests are not noted
 	onConn     func(net.Conn)    // a connection was accepted
 	inFlight   atomic.Int64      // requests that it holds
 	listener   net.Listener      // nil once it is stopped
@@ -37,7 +36,7 @@
 }
 
 // errReset is the error of a request whose connection the server has reset.
-var errReset = errors.New("reset")
+var errReset = errors.New("the server has reset its connection")
 
 // firstByte is when the first byte of a request came.
 type firstByte struct {
@@ -121,20 +120,15 @@
 			length, err = io.Copy(io.Discard, request.Body)
 		}
 		if err != nil {
-			if s.quiet {
-				return
-			}
-			s.run.note("server %s: request %s broke off after %d bytes of its body: it never runs", s.id, id,
-				length)
+			s.run.note("server %s: request %s ends after %d bytes of its body, it never runs: %v", s.id, id,
+				length, err)
 			return
 		}
 		s.mu.Lock()
 		s.ran[id]++
 		s.mu.Unlock()
-		if !s.quiet {
-			s.run.note("server %s: begins request %s (%d bytes of body, Request-Timeout-Ms %s)", s.id, id, length,
-				request.Header.Get("Request-Timeout-Ms"))
-		}
+		s.run.note("server %s: begins request %s (%d bytes of body, Request-Timeout-Ms %s)", s.id, id, length,
+			request.Header.Get("Request-Timeout-Ms"))
 		if s.onBegin != nil {
 			s.onBegin(id)
 		}
--- a/review/standin-2/turnedaway.go
+++ b/review/standin-2/turnedaway.go
@@ -18,7 +18,7 @@
 	var servers []*server
 	var list []instance
 	for _, name := range names {
-		s := &server{run: r, id: name, zone: "harbor-st", work: 5 * time.Millisecond, quiet: true}
+		s := &server{run: r, id: name, zone: "harbor-st", work: 5 * time.Millisecond}
 		if err := s.serve(); err != nil {
 			return r.end(couldNot, "%v", err)
 		}
