--- a/review/standin-2/secondanswer.go
+++ b/review/standin-2/secondanswer.go
@@ -14,7 +14,7 @@
 // Figures of the case second-answer.
 const (
 	crossDelay    = 1300 * time.Microsecond // one way between two substations: 0.7 to 1.3 ms (BRIEF)
-	secondEvery   = 50                      // one of so many answers is followed by a second copy
+	secondEvery   = 25                      // one of so many answers is followed by a second copy
 	maxSecondWait = 5 * time.Millisecond    // "some milliseconds late"
 	trafficFor    = 20 * time.Second
 	trafficers    = 8
